--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! maplevane makes the decisions of a load-balancing proxy: which backend gets each
+//! kitefork makes the decisions of a load-balancing proxy: which backend gets each
 //! request, when to try again, when to refuse.
 //!
 //! A [`Balancer`] is a pure state machine. It is fed [`Event`]s with the time at which
@@ -6,7 +6,7 @@
 //! no thread. Equal events give equal actions.
 //!
 //! ```
-//! use maplevane::{
+//! use kitefork::{
 //!     Action, Backend, BackendId, BackendState, Balancer, CellId, Class, ClassId, Effect, Event,
 //!     KindId, ListKind, Request, RequestId, Settings, TenantId, ZoneId,
 //! };
@@ -43,7 +43,7 @@
 //! };
 //! balancer.handle(1_000_000, Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { backend: BackendId(7), .. })));
-//! # Ok::<(), maplevane::SettingsError>(())
+//! # Ok::<(), kitefork::SettingsError>(())
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -10,7 +10,7 @@
 use std::process::ExitCode;
 
 use frame::{FrameError, HEADER, Header, Lists, Message, Reply};
-use maplevane::Balancer;
+use kitefork::Balancer;
 use thiserror::Error;
 
 #[derive(Debug, Error)]
@@ -105,7 +105,7 @@
     match run(io::BufReader::with_capacity(1 << 16, io::stdin().lock()), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("maplevane-wirehost: {error}");
+            eprintln!("kitefork-wirehost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/wirehost/src/settings.rs
+++ b/wirehost/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings as they stand on the wire.
 
-use maplevane::{Class, Effect, Group, Limits, Rules, Settings, Tenant, ZoneId};
+use kitefork::{Class, Effect, Group, Limits, Rules, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
