--- /dev/null
+++ b/node/src/client.rs
@@ -0,0 +1,338 @@
+//! Client sessions: one connection of a client, and what its messages ask for.
+
+use std::os::fd::OwnedFd;
+
+use kitefork::{Effect, Nanos};
+use kitefork_settings::Deployment;
+use rustix::event::epoll::EventFlags;
+
+use crate::clock::{MS, SECOND};
+use crate::http1::{self, Bad, Head, MOST_BODY, MOST_HEAD, Parser, Start};
+use crate::req::{Ask, Synthetic};
+use crate::ring::{Read, Ring};
+use crate::wheel::Deadline;
+
+/// Paths that clients may ask for.
+const API: &str = "/api";
+const HEALTH: &str = "/_health";
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Messages come and go.
+    Open,
+    /// What is written goes out, then the connection ends.
+    Closing,
+    /// All is written. What still comes is thrown away: closing at once would reset the connection and could
+    /// take the answer with it.
+    Lingering,
+}
+
+pub struct Session {
+    pub socket: OwnedFd,
+    pub outbox: Ring,
+    inbox: Ring,
+    parser: Parser,
+    pub phase: Phase,
+    /// The req that it waits for.
+    pub req: Option<u32>,
+    /// The current message lets the connection live on.
+    keep_alive: bool,
+    /// When the first byte of the current message came.
+    began: Option<Nanos>,
+    leave_given: bool,
+    pub idle_since: Nanos,
+    pub deadline: Deadline,
+    pub interest: EventFlags,
+}
+
+/// What reading a session came to.
+pub enum Intake {
+    /// Nothing whole yet.
+    Wait,
+    /// A whole message, and when its first byte came.
+    Message(Head, Vec<u8>, Nanos),
+    Bad(Bad),
+    /// The client has left.
+    Gone,
+}
+
+impl Session {
+    pub fn new(socket: OwnedFd, now: Nanos, interest: EventFlags) -> Session {
+        Session {
+            socket,
+            // An answer, its head, and a word of leave before it.
+            outbox: Ring::new(MOST_BODY + 2 * MOST_HEAD),
+            inbox: Ring::new(MOST_HEAD + 1024),
+            parser: Parser::requests(),
+            phase: Phase::Open,
+            req: None,
+            keep_alive: true,
+            began: None,
+            leave_given: false,
+            idle_since: now,
+            deadline: Deadline::new(),
+            interest,
+        }
+    }
+
+    /// It stands between two messages.
+    pub fn is_idle(&self) -> bool {
+        self.phase == Phase::Open && self.req.is_none() && self.outbox.is_empty() && self.began.is_none()
+    }
+
+    /// The inbox has no room until the current req is over.
+    pub fn is_stuffed(&self) -> bool {
+        self.req.is_some() && self.inbox.len() > MOST_HEAD
+    }
+
+    /// Reads what has come, up to a whole message. While a req is under way, what comes waits in the ring.
+    pub fn read(&mut self, now: Nanos) -> Intake {
+        loop {
+            if self.phase == Phase::Open
+                && self.req.is_none()
+                && let Some(intake) = self.parse(now)
+            {
+                return intake;
+            }
+            match self.inbox.read_from(&self.socket) {
+                Read::Some if self.phase != Phase::Open => {
+                    let count = self.inbox.len();
+                    self.inbox.consume(count);
+                }
+                Read::Some => {}
+                Read::Dry | Read::Full => return Intake::Wait,
+                Read::End | Read::Broken => return Intake::Gone,
+            }
+        }
+    }
+
+    fn parse(&mut self, now: Nanos) -> Option<Intake> {
+        if self.inbox.is_empty() {
+            return None;
+        }
+        self.began.get_or_insert(now);
+        let used = match self.parser.feed(self.inbox.bytes()) {
+            Ok(used) => used,
+            Err(bad) => return Some(Intake::Bad(bad)),
+        };
+        self.inbox.consume(used);
+        if self.parser.awaits_body()
+            && !self.leave_given
+            && self.parser.head.as_ref().is_some_and(Head::expects_leave)
+        {
+            // Small, and before any answer: it always fits.
+            self.leave_given = self.outbox.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        if self.parser.is_fresh() && self.inbox.is_empty() {
+            self.began = None;
+        }
+        let (head, body) = self.parser.message()?;
+        self.keep_alive = head.keep_alive;
+        self.leave_given = false;
+        Some(Intake::Message(head, body, self.began.take().unwrap_or(now)))
+    }
+
+    /// Puts an answer in the outbox; `end` ends the connection after it.
+    pub fn answer(&mut self, status: u16, headers: &[(&str, &str)], body: &[u8], end: bool) {
+        self.req = None;
+        let end = end || !self.keep_alive;
+        let last = end.then_some(("connection", "close"));
+        let first = format!("HTTP/1.1 {status} {}", phrase(status));
+        let bytes = http1::write(&first, headers.iter().copied().chain(last), Some(body));
+        // An answer that doesn't fit can't be told from none: the connection ends without a whole one.
+        if !self.outbox.push(&bytes) || end {
+            self.phase = Phase::Closing;
+        }
+    }
+}
+
+fn phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "HTTP Version Not Supported",
+    }
+}
+
+/// Status for a message that can't be read.
+pub fn status_of(bad: Bad) -> u16 {
+    match bad {
+        Bad::Malformed => 400,
+        Bad::HeadTooLarge => 431,
+        Bad::BodyTooLarge => 413,
+        Bad::Version => 505,
+    }
+}
+
+/// Status and `Retry-After` of an answer that no backend made.
+pub fn status_and_advice(answer: Synthetic) -> (u16, Option<String>) {
+    match answer {
+        Synthetic::Refused { retry_after: 0 } => (503, None),
+        // Whole seconds are what every client reads.
+        Synthetic::Refused { retry_after } => (503, Some(retry_after.div_ceil(SECOND).to_string())),
+        Synthetic::Failed => (502, None),
+        Synthetic::TimedOut => (504, None),
+    }
+}
+
+/// A req on its way to a backend, as this protocol carries it.
+pub struct Call {
+    head: Head,
+    body: Vec<u8>,
+}
+
+impl Call {
+    /// The bytes for a backend that has `left` to answer.
+    pub fn bytes(&self, left: Nanos) -> Vec<u8> {
+        let Start::Request { method, target } = &self.head.start else { return Vec::new() };
+        let left = (left / MS).to_string();
+        let headers = self.head.end_to_end().filter(|(name, _)| *name != "x-remaining-ms");
+        let headers = headers.chain([("x-remaining-ms", left.as_str()), ("via", "1.1 kitefork")]);
+        let body = (method != "GET" || !self.body.is_empty()).then_some(self.body.as_slice());
+        http1::write(&format!("{method} {target} HTTP/1.1"), headers, body)
+    }
+}
+
+/// What a message asks for.
+pub enum Route {
+    Health,
+    Req(Ask, Call),
+    /// It is answered with this status, and why.
+    Wrong(u16, &'static str),
+}
+
+/// Reads what a message asks for. What is wrong with it is found here, before the decisions or a backend
+/// come to see it.
+pub fn route(head: Head, body: Vec<u8>, deployment: &Deployment, waited: Nanos) -> Route {
+    match ask(&head, deployment, waited) {
+        Ok(Some(ask)) => Route::Req(ask, Call { head, body }),
+        Ok(None) => Route::Health,
+        Err((status, why)) => Route::Wrong(status, why),
+    }
+}
+
+fn ask(head: &Head, deployment: &Deployment, waited: Nanos) -> Result<Option<Ask>, (u16, &'static str)> {
+    let Start::Request { method, target } = &head.start else { return Err((400, "not a request")) };
+    let path = target.split('?').next().unwrap_or_default();
+    if path == HEALTH {
+        return if matches!(method.as_str(), "GET" | "HEAD") { Ok(None) } else { Err((405, "GET")) };
+    }
+    if path != API {
+        return Err((404, "no such path"));
+    }
+    if !matches!(method.as_str(), "GET" | "POST") {
+        return Err((405, "GET, POST"));
+    }
+    let header = |name| head.one(name).map_err(|_| (400, "a header stands twice"));
+    let place = |names: &[String], name: Option<&str>| {
+        names.iter().position(|known| name == Some(known)).and_then(|place| u16::try_from(place).ok())
+    };
+    let printable = |text: &&str| !text.is_empty() && text.len() <= 256;
+    header("x-txn")?.filter(printable).ok_or((400, "X-Txn is missing or bad"))?;
+    let class = place(&deployment.classes, header("x-lane")?).ok_or((400, "X-Lane is missing or unknown"))?;
+    let tenant = match header("x-org")? {
+        None if deployment.tenants.is_empty() => 0,
+        name => place(&deployment.tenants, name).ok_or((400, "X-Org is missing or unknown"))?,
+    };
+    let figure = |name, why| match header(name)? {
+        None => Ok(None),
+        Some(text) if text.bytes().all(|b| b.is_ascii_digit()) => {
+            text.parse::<u32>().map(|n| Some(Nanos::from(n))).map_err(|_| (400, why))
+        }
+        Some(_) => Err((400, why)),
+    };
+    let remaining = figure("x-remaining-ms", "X-Remaining-Ms is bad")?;
+    let remaining = remaining.ok_or((400, "X-Remaining-Ms is missing"))?;
+    let estimate = figure("x-estimate", "X-Estimate is bad")?;
+    // The class fixes the method, and a keyed req must have its key: without it backends can't drop repeats.
+    let safe = deployment.settings.classes[usize::from(class)].effect == Effect::Safe;
+    match (method.as_str(), safe) {
+        ("GET", false) => return Err((405, "POST")),
+        ("POST", true) => return Err((405, "GET")),
+        _ => {}
+    }
+    let keyed = matches!(deployment.settings.classes[usize::from(class)].effect, Effect::Keyed { .. });
+    if keyed && header("idempotency-key")?.is_none_or(str::is_empty) {
+        return Err((400, "Idempotency-Key is missing"));
+    }
+    Ok(Some(Ask {
+        class,
+        tenant,
+        // Counted from when the client sent it: what its last bytes took to come has passed.
+        patience: (remaining * MS).saturating_sub(waited),
+        work_hint: estimate.map(|us| us * 1_000),
+        client_retry: header("x-resent")? == Some("1"),
+    }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::tests::CONFIG;
+    use kitefork_settings::json::Tree;
+
+    fn routed(text: &str) -> Route {
+        let tree = Tree::parse(CONFIG.as_bytes()).unwrap();
+        let deployment = kitefork_settings::read(&tree.root().get("settings").unwrap()).unwrap();
+        let mut parser = Parser::requests();
+        parser.feed(text.as_bytes()).unwrap();
+        let (head, body) = parser.message().unwrap();
+        route(head, body, &deployment, 30 * MS)
+    }
+
+    const GOOD: &str = "POST /api?a=b HTTP/1.1\r\nHost: h\r\nX-Txn: 1f\r\nX-Lane: report\r\nX-Org: acme\r\n\
+        X-Remaining-Ms: 480\r\nX-Estimate: 1500\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\nhi";
+
+    #[test]
+    fn a_req_keeps_what_is_the_clients_and_counts_its_time_from_the_first_byte() {
+        let Route::Req(ask, call) = routed(GOOD) else { panic!("not a req") };
+        assert_eq!((ask.class, ask.tenant, ask.patience, ask.work_hint), (0, 0, 450 * MS, Some(1_500_000)));
+        let bytes = String::from_utf8(call.bytes(449 * MS + 999)).unwrap();
+        assert!(bytes.starts_with("POST /api?a=b HTTP/1.1\r\nhost: h\r\nx-txn: 1f\r\n"), "{bytes}");
+        for part in
+            ["\r\nx-remaining-ms: 449\r\n", "\r\nidempotency-key: k\r\n", "content-length: 2\r\n\r\nhi"]
+        {
+            assert!(bytes.contains(part), "{bytes}");
+        }
+        assert!(!bytes.contains("480"));
+    }
+
+    #[test]
+    fn what_is_wrong_is_told_by_its_status() {
+        for (old, new, wanted) in [
+            ("/api", "/apis", 404),
+            ("POST", "PUT", 405),
+            ("POST", "GET", 405),
+            ("X-Lane: report", "X-Lane: look", 405),
+            ("X-Lane: report", "X-Lane: other", 400),
+            ("X-Org: acme", "X-Org: other", 400),
+            ("X-Org: acme", "A: b", 400),
+            ("X-Txn: 1f", "A: b", 400),
+            ("X-Txn: 1f", "X-Txn: 1f\r\nX-Txn: 1f", 400),
+            ("480", "-1", 400),
+            ("480", "99999999999", 400),
+            ("1500", "1.5", 400),
+            ("Idempotency-Key", "Key", 400),
+            ("POST /api", "POST /_health", 405),
+        ] {
+            let Route::Wrong(status, _) = routed(&GOOD.replace(old, new)) else { panic!("{new} passes") };
+            assert_eq!(status, wanted, "{new}");
+        }
+    }
+
+    #[test]
+    fn advice_is_whole_seconds_and_only_refusals_carry_it() {
+        let refused = |retry_after| status_and_advice(Synthetic::Refused { retry_after });
+        assert_eq!(refused(1_200 * MS), (503, Some("2".into())));
+        assert_eq!(refused(0), (503, None));
+        assert_eq!(status_and_advice(Synthetic::TimedOut), (504, None));
+    }
+}
--- /dev/null
+++ b/node/src/discovery.rs
@@ -0,0 +1,309 @@
+//! Discovery: the list of backends, and the calls that keep it up to date. One watch at most, resumed after
+//! the last version; whether and when to ask again is the decisions' business.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+
+use kitefork::{Backend, BackendId, BackendState, CellId, Event, KindId, ListKind, Nanos, ZoneId};
+use kitefork_settings::json::{Fault, Place, Tree};
+
+use crate::clock::{Clock, MS};
+use crate::http1::{self, Parser, Start};
+use crate::ring::{Read, Ring};
+use crate::wheel::Deadline;
+
+/// A watch says something every 2 s, a call is answered or turned down within 3 s: a connection silent for
+/// longer is cut off, and TCP would not tell. Short enough that what was missed is asked for again before
+/// the 6 s are over after which it counts as told.
+pub const SILENCE: Nanos = 4_200 * MS;
+/// Longest line or list that is read.
+const MOST_LIST: usize = 4 << 20;
+
+/// What discovery says of one backend.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    uid: String,
+    endpoint: Option<SocketAddr>,
+    zone: String,
+    kind: String,
+    cell: u16,
+    state: BackendState,
+    weight: f32,
+    boot_ms: u64,
+}
+
+/// One object of discovery: changes, or the whole list.
+#[derive(Debug, Clone, Default)]
+pub struct Update {
+    pub rev: u64,
+    pub all: bool,
+    pub entries: Vec<Entry>,
+}
+
+impl Update {
+    pub fn parse(text: &[u8]) -> Result<Update, Fault> {
+        Update::read(&Tree::parse(text)?.root())
+    }
+
+    pub fn read(root: &Place) -> Result<Update, Fault> {
+        let entries = root.get("targets")?.list()?;
+        Ok(Update {
+            rev: root.get("rev")?.whole()?,
+            all: root.get("all")?.flag()?,
+            entries: entries.iter().map(Entry::read).collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl Entry {
+    fn read(place: &Place) -> Result<Entry, Fault> {
+        let word = place.get("state")?;
+        let state = match word.text()? {
+            "Ready" => BackendState::Ready,
+            "Terminating" => BackendState::Draining,
+            "Gone" => BackendState::Gone,
+            _ => return Err(word.bad("unknown state")),
+        };
+        let endpoint = place.find("endpoint").map(|e| e.text()?.parse().map_err(|_| e.bad("not an address")));
+        let endpoint = endpoint.transpose()?;
+        if endpoint.is_none() && state == BackendState::Ready {
+            return Err(place.bad("a ready backend needs an `endpoint`"));
+        }
+        Ok(Entry {
+            uid: place.get("uid")?.text()?.to_string(),
+            endpoint,
+            zone: place.or("az", "", Place::text)?.to_string(),
+            kind: place.or("model", "", Place::text)?.to_string(),
+            cell: place.or("pod_group", 0, Place::narrow)?,
+            state,
+            weight: place.or("capacity_hint", 1.0, Place::number)? as f32,
+            boot_ms: place.or("boot_ms", 0, Place::whole)?,
+        })
+    }
+}
+
+/// The backends as last told.
+pub struct Fleet {
+    /// Numbers that the decisions know backends by; a uid keeps its number for the life of the node.
+    ids: HashMap<String, BackendId>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    members: HashMap<BackendId, (Option<SocketAddr>, BackendState)>,
+}
+
+impl Fleet {
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Fleet {
+        Fleet { ids: HashMap::new(), zones, kinds, members: HashMap::new() }
+    }
+
+    /// Where a backend listens, if it may be sent to.
+    pub fn endpoint(&self, id: BackendId) -> Option<SocketAddr> {
+        self.members.get(&id).filter(|m| m.1 == BackendState::Ready)?.0
+    }
+
+    pub fn has_ready(&self) -> bool {
+        self.members.values().any(|member| member.1 == BackendState::Ready)
+    }
+
+    /// Takes an update; gives the event for the decisions and the backends to which connections must end:
+    /// those that are leaving and those that have moved.
+    pub fn apply(&mut self, clock: &Clock, update: &Update, cached: bool) -> (Event, Vec<BackendId>) {
+        let mut ends = Vec::new();
+        let backends: Vec<Backend> = update.entries.iter().map(|entry| self.backend(clock, entry)).collect();
+        if update.all {
+            let listed: Vec<BackendId> = backends.iter().map(|b| b.id).collect();
+            for (id, member) in self.members.iter_mut().filter(|m| !listed.contains(m.0)) {
+                if member.1 != BackendState::Gone {
+                    ends.push(*id);
+                }
+                member.1 = BackendState::Gone;
+            }
+        }
+        for (entry, backend) in update.entries.iter().zip(&backends) {
+            let before = self.members.insert(backend.id, (entry.endpoint, backend.state));
+            let moved = before.is_some_and(|(endpoint, _)| endpoint != entry.endpoint);
+            if moved || backend.state != BackendState::Ready {
+                ends.push(backend.id);
+            }
+        }
+        let kind = match (cached, update.all) {
+            (true, _) => ListKind::Cached,
+            (_, true) => ListKind::Full,
+            (_, false) => ListKind::Delta,
+        };
+        (Event::List { kind, backends }, ends)
+    }
+
+    fn backend(&mut self, clock: &Clock, entry: &Entry) -> Backend {
+        let next = BackendId(self.ids.len() as u32);
+        Backend {
+            id: *self.ids.entry(entry.uid.clone()).or_insert(next),
+            zone: ZoneId(place(&mut self.zones, &entry.zone)),
+            cell: CellId(entry.cell),
+            kind: KindId(place(&mut self.kinds, &entry.kind)),
+            state: entry.state,
+            weight: entry.weight,
+            started: clock.of_unix_ms(entry.boot_ms),
+        }
+    }
+}
+
+/// Place of a name in the settings' list. A name that they do not know yet gets a place of its own: a new
+/// kind of machine must not cost the whole list.
+fn place(names: &mut Vec<String>, name: &str) -> u16 {
+    let found = names.iter().position(|known| known == name);
+    found.unwrap_or_else(|| {
+        names.push(name.to_string());
+        names.len() - 1
+    }) as u16
+}
+
+/// One call to discovery: a watch, or the whole list once.
+pub struct Call {
+    pub socket: OwnedFd,
+    pub watch: bool,
+    pub outbox: Ring,
+    inbox: Ring,
+    parser: Parser,
+    pub heard: Nanos,
+    pub deadline: Deadline,
+}
+
+/// What a call has brought.
+#[derive(Debug, Default)]
+pub struct News {
+    pub updates: Vec<Update>,
+    /// The call is over, and why.
+    pub over: Option<String>,
+    /// It ended as it should.
+    pub well: bool,
+}
+
+impl Call {
+    pub fn new(socket: OwnedFd, watch: bool, after: u64, host: SocketAddr, now: Nanos) -> Call {
+        let query = if watch { format!("?watch=1&after={after}") } else { String::new() };
+        let first = format!("GET /catalog/members{query} HTTP/1.1");
+        let mut outbox = Ring::new(4096);
+        let sent = outbox.push(&http1::write(&first, [("host", host.to_string().as_str())], None));
+        debug_assert!(sent, "a call fits its ring");
+        let parser = Parser::responses().with_most_body(MOST_LIST);
+        Call {
+            socket,
+            watch,
+            outbox,
+            inbox: Ring::new(64 * 1024),
+            parser,
+            heard: now,
+            deadline: Deadline::new(),
+        }
+    }
+
+    /// Reads what has come.
+    pub fn read(&mut self, now: Nanos) -> News {
+        let mut news = News::default();
+        while news.over.is_none() {
+            match self.inbox.read_from(&self.socket) {
+                Read::Some => {
+                    self.heard = now;
+                    if let Err(fault) = self.take(&mut news) {
+                        news.over = Some(fault);
+                    }
+                }
+                Read::Dry => break,
+                Read::End | Read::Broken if self.parser.end() && !self.watch => {
+                    if let Err(fault) = self.whole(&mut news) {
+                        news.over = Some(fault);
+                    }
+                }
+                Read::End | Read::Broken => news.over = Some("the connection ended".into()),
+                Read::Full => news.over = Some("a head without end".into()),
+            }
+        }
+        news
+    }
+
+    fn take(&mut self, news: &mut News) -> Result<(), Fault> {
+        let bytes = self.inbox.bytes();
+        let used = self.parser.feed(bytes).map_err(|bad| format!("{bad:?} answer"))?;
+        self.inbox.consume(used);
+        match self.parser.head.as_ref().map(|head| &head.start) {
+            None => return Ok(()),
+            Some(Start::Response { status: 200 }) => {}
+            Some(start) => return Err(format!("answered {start:?}")),
+        }
+        if self.watch {
+            while let Some(end) = self.parser.body.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = self.parser.body.drain(..=end).collect();
+                // An empty line only says that discovery is there.
+                if !line.trim_ascii().is_empty() {
+                    news.updates.push(Update::parse(&line)?);
+                }
+            }
+        }
+        if self.parser.is_done() { self.whole(news) } else { Ok(()) }
+    }
+
+    fn whole(&mut self, news: &mut News) -> Result<(), Fault> {
+        if self.watch {
+            return Err("the watch ended".into());
+        }
+        let (_, body) = self.parser.message().ok_or("no answer")?;
+        news.updates.push(Update::parse(&body)?);
+        (news.over, news.well) = (Some("done".into()), true);
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn update(all: bool, entries: &[(&str, u16, &str)]) -> Update {
+        let entries: Vec<String> = entries
+            .iter()
+            .map(|(uid, port, state)| {
+                format!(r#"{{"uid":"{uid}","endpoint":"127.0.0.1:{port}","az":"z","model":"m","state":"{state}"}}"#)
+            })
+            .collect();
+        let text = format!(r#"{{"rev":1,"all":{all},"targets":[{}]}}"#, entries.join(","));
+        Update::parse(text.as_bytes()).unwrap()
+    }
+
+    fn ids(event: Event) -> Vec<u32> {
+        let Event::List { backends, .. } = event else { panic!("{event:?}") };
+        backends.iter().map(|b| b.id.0).collect()
+    }
+
+    #[test]
+    fn a_uid_keeps_its_number_and_connections_end_where_a_backend_leaves_or_moves() {
+        let (clock, mut fleet) = (Clock::start(), Fleet::new(vec![], vec![]));
+        let (event, ends) = fleet.apply(
+            &clock,
+            &update(true, &[("a", 1, "Ready"), ("b", 2, "Ready"), ("c", 3, "Ready")]),
+            true,
+        );
+        assert_eq!((ids(event), ends), (vec![0, 1, 2], vec![]));
+        let (event, ends) =
+            fleet.apply(&clock, &update(false, &[("b", 9, "Ready"), ("c", 3, "Terminating")]), false);
+        assert_eq!((ids(event), ends), (vec![1, 2], vec![BackendId(1), BackendId(2)]));
+        assert_eq!(fleet.endpoint(BackendId(1)).unwrap().port(), 9);
+        assert_eq!(fleet.endpoint(BackendId(2)), None);
+        let (_, ends) = fleet.apply(&clock, &update(true, &[("b", 9, "Ready")]), false);
+        assert!(ends.contains(&BackendId(0)) && fleet.has_ready());
+    }
+
+    #[test]
+    fn a_faulty_line_is_named_and_not_half_taken() {
+        for text in [
+            "{",
+            r#"{"rev":1,"all":true}"#,
+            r#"{"rev":1,"all":true,"targets":[{"uid":"a","state":"Ready"}]}"#,
+            r#"{"rev":1,"all":true,"targets":[{"uid":"a","endpoint":"x","state":"Ready"}]}"#,
+            r#"{"rev":1,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"Odd"}]}"#,
+            r#"{"rev":1,"all":true,"targets":[{"uid":"a","pod_group":70000,"state":"Gone"}]}"#,
+        ] {
+            assert!(Update::parse(text.as_bytes()).is_err(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/node/src/fetch.rs
@@ -0,0 +1,263 @@
+//! Fetches: connections to backends, each carrying one attempt at a time, and the pool of idle ones.
+
+use std::collections::BTreeMap;
+use std::os::fd::OwnedFd;
+
+use kitefork::{BackendId, Nanos, Outcome};
+use rustix::event::epoll::EventFlags;
+use rustix::net::{RecvFlags, sockopt};
+
+use crate::http1::{Head, MOST_BODY, MOST_HEAD, Parser, Start};
+use crate::ring::{Read, Ring};
+use crate::wheel::Deadline;
+
+/// What a fetch is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Job {
+    Req { req: u32, attempt: u8 },
+    Probe { backend: BackendId, sent: Nanos },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// The connection is not up.
+    Connecting,
+    /// Up, and the request is not written whole.
+    Sending,
+    /// All is written: the backend may be at work.
+    Waiting,
+    /// In the pool.
+    Idle,
+}
+
+pub struct Fetch {
+    pub socket: OwnedFd,
+    pub backend: BackendId,
+    pub phase: Phase,
+    pub job: Option<Job>,
+    pub until: Nanos,
+    pub write_by: Nanos,
+    pub outbox: Ring,
+    inbox: Ring,
+    parser: Parser,
+    pub deadline: Deadline,
+    pub interest: EventFlags,
+}
+
+/// What has become of a fetch.
+pub enum Progress {
+    Going,
+    /// A whole answer, and whether the connection can carry another request.
+    Answered(Head, Vec<u8>, bool),
+    Failed(Outcome),
+    /// An idle connection that can't be used again.
+    Stale,
+}
+
+impl Fetch {
+    pub fn new(socket: OwnedFd, backend: BackendId, interest: EventFlags) -> Fetch {
+        Fetch {
+            socket,
+            backend,
+            phase: Phase::Connecting,
+            job: None,
+            until: 0,
+            write_by: Nanos::MAX,
+            // A head as long as a client's, and what the node adds to it.
+            outbox: Ring::new(MOST_BODY + 2 * MOST_HEAD),
+            inbox: Ring::new(MOST_HEAD + 1024),
+            parser: Parser::responses(),
+            deadline: Deadline::new(),
+            interest,
+        }
+    }
+
+    /// How an attempt ends that is broken off now: what is not written whole never ran.
+    pub fn broken(&self, after: Outcome) -> Outcome {
+        if self.phase == Phase::Waiting { after } else { Outcome::ConnectFailed }
+    }
+
+    /// Goes on after the socket has become ready, or a request has been put in the outbox.
+    pub fn go_on(&mut self, ready: bool) -> Progress {
+        if self.phase == Phase::Connecting {
+            if !ready {
+                return Progress::Going;
+            }
+            match sockopt::socket_error(&self.socket) {
+                Ok(Ok(())) => self.phase = Phase::Sending,
+                _ => return Progress::Failed(Outcome::ConnectFailed),
+            }
+        }
+        let broken = self.phase == Phase::Sending && self.outbox.write_to(&self.socket).is_err();
+        if self.phase == Phase::Sending && self.outbox.is_empty() {
+            self.phase = Phase::Waiting;
+        }
+        // A backend that turns a request away may answer and close before it has read all of it.
+        match self.read() {
+            Progress::Going if broken => Progress::Failed(Outcome::ConnectFailed),
+            other => other,
+        }
+    }
+
+    fn read(&mut self) -> Progress {
+        loop {
+            let ended = match self.inbox.read_from(&self.socket) {
+                Read::Some => false,
+                Read::Dry | Read::Full => return Progress::Going,
+                Read::End => true,
+                Read::Broken => return self.gone(),
+            };
+            // Bytes that nobody asked for, or the end: not to be used again.
+            if self.phase == Phase::Idle {
+                return Progress::Stale;
+            }
+            let used = match self.parser.feed(self.inbox.bytes()) {
+                Ok(used) => used,
+                Err(_) => return Progress::Failed(self.broken(Outcome::Reset)),
+            };
+            self.inbox.consume(used);
+            if ended && !self.parser.end() {
+                return self.gone();
+            }
+            if let Some((head, body)) = self.parser.message() {
+                let whole = self.phase == Phase::Waiting && self.inbox.is_empty();
+                let reusable = head.keep_alive && whole && !ended;
+                return Progress::Answered(head, body, reusable);
+            }
+        }
+    }
+
+    fn gone(&self) -> Progress {
+        if self.phase == Phase::Idle {
+            Progress::Stale
+        } else {
+            Progress::Failed(self.broken(Outcome::Reset))
+        }
+    }
+
+    /// An idle connection is still good: neither an end nor stray bytes have come.
+    pub fn is_sound(&self) -> bool {
+        let mut byte = [0];
+        rustix::net::recv(&self.socket, &mut byte, RecvFlags::PEEK) == Err(rustix::io::Errno::AGAIN)
+    }
+}
+
+/// What a backend's answer means for the attempt.
+pub fn outcome(head: &Head) -> Outcome {
+    match head.start {
+        Start::Response { status: 200 } => Outcome::Ok,
+        Start::Response { status: 503 | 504 } if head.one("x-turned-away") == Ok(Some("1")) => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// The idle connections of each backend, the newest last.
+#[derive(Default)]
+pub struct Pool {
+    idle: BTreeMap<BackendId, Vec<u32>>,
+}
+
+impl Pool {
+    pub fn put(&mut self, backend: BackendId, number: u32) {
+        self.idle.entry(backend).or_default().push(number);
+    }
+
+    /// The newest: the older ones get to age out.
+    pub fn take(&mut self, backend: BackendId) -> Option<u32> {
+        self.idle.get_mut(&backend)?.pop()
+    }
+
+    pub fn remove(&mut self, backend: BackendId, number: u32) {
+        if let Some(numbers) = self.idle.get_mut(&backend) {
+            numbers.retain(|n| *n != number);
+            if numbers.is_empty() {
+                self.idle.remove(&backend);
+            }
+        }
+    }
+
+    /// All idle connections of a backend, out of the pool.
+    pub fn drain(&mut self, backend: BackendId) -> Vec<u32> {
+        self.idle.remove(&backend).unwrap_or_default()
+    }
+
+    /// Some idle connection, out of the pool: the oldest of the backend with the most.
+    pub fn spare(&mut self) -> Option<u32> {
+        let most = self.idle.values_mut().max_by_key(|numbers| numbers.len())?;
+        (!most.is_empty()).then(|| most.remove(0))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rustix::net::{AddressFamily, SocketFlags, SocketType, socketpair};
+    use std::io::Write;
+    use std::os::unix::net::UnixStream;
+
+    /// A fetch whose request is written, and the backend's end.
+    fn waiting() -> (Fetch, UnixStream) {
+        let (family, kind, flags) = (AddressFamily::UNIX, SocketType::STREAM, SocketFlags::NONBLOCK);
+        let (near, far) = socketpair(family, kind, flags, None).unwrap();
+        let mut fetch = Fetch::new(near, BackendId(1), EventFlags::IN);
+        fetch.phase = Phase::Sending;
+        assert!(fetch.outbox.push(b"GET / HTTP/1.1\r\n\r\n"));
+        assert!(matches!(fetch.go_on(true), Progress::Going));
+        (fetch, far.into())
+    }
+
+    fn end(bytes: &str, close: bool) -> Result<(Outcome, bool), Outcome> {
+        let (mut fetch, mut far) = waiting();
+        far.write_all(bytes.as_bytes()).unwrap();
+        let far = (!close).then_some(far);
+        let found = match fetch.go_on(true) {
+            Progress::Answered(head, _, reusable) => Ok((outcome(&head), reusable)),
+            Progress::Failed(outcome) => Err(outcome),
+            Progress::Going | Progress::Stale => panic!("not ended"),
+        };
+        drop(far);
+        found
+    }
+
+    #[test]
+    fn every_ending_has_its_outcome() {
+        let ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+        assert_eq!(end(ok, false), Ok((Outcome::Ok, true)));
+        assert_eq!(
+            end(&ok.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"), false),
+            Ok((Outcome::Ok, false))
+        );
+        assert_eq!(end(&format!("{ok}stray"), false), Ok((Outcome::Ok, false)));
+        let away = "X-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+        assert_eq!(end(&format!("HTTP/1.1 503 No\r\n{away}"), false), Ok((Outcome::Full, true)));
+        assert_eq!(end(&format!("HTTP/1.1 504 No\r\n{away}"), false), Ok((Outcome::Full, true)));
+        assert_eq!(end(&format!("HTTP/1.1 500 No\r\n{away}"), false), Ok((Outcome::Error, true)));
+        assert_eq!(end("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false), Ok((Outcome::Error, true)));
+        assert_eq!(end(&ok[..ok.len() - 1], true), Err(Outcome::Reset));
+        assert_eq!(end("", true), Err(Outcome::Reset));
+        assert_eq!(end("nonsense\r\n\r\n", false), Err(Outcome::Reset));
+        assert_eq!(end(&ok.replace(": 2", ": 65537"), false), Err(Outcome::Reset));
+    }
+
+    #[test]
+    fn what_is_not_written_whole_never_ran() {
+        let (mut fetch, far) = waiting();
+        assert_eq!(fetch.broken(Outcome::Timeout), Outcome::Timeout);
+        fetch.phase = Phase::Sending;
+        assert_eq!(fetch.broken(Outcome::Timeout), Outcome::ConnectFailed);
+        drop(far);
+        assert!(fetch.outbox.push(b"more"));
+        assert!(matches!(fetch.go_on(true), Progress::Failed(Outcome::ConnectFailed)));
+    }
+
+    #[test]
+    fn an_idle_connection_with_an_end_or_stray_bytes_is_not_sound() {
+        let (fetch, mut far) = waiting();
+        assert!(fetch.is_sound());
+        far.write_all(b"x").unwrap();
+        assert!(!fetch.is_sound());
+        let (fetch, far) = waiting();
+        drop(far);
+        assert!(!fetch.is_sound());
+    }
+}
--- /dev/null
+++ b/node/src/http1.rs
@@ -0,0 +1,450 @@
+//! HTTP/1.1 as bytes: a parser that is fed what has come and a writer that appends to a buffer. No sockets, no
+//! clock. Strict where a lenient reader would let two parties see two different messages.
+
+/// Longest head, and longest body that a message may have.
+pub const MOST_HEAD: usize = 16 * 1024;
+pub const MOST_BODY: usize = 64 * 1024;
+const MOST_HEADERS: usize = 100;
+/// Longest line that gives a chunk's size; extensions are passed over.
+const MOST_CHUNK_LINE: usize = 256;
+
+/// Why a message can't be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bad {
+    Malformed,
+    HeadTooLarge,
+    BodyTooLarge,
+    Version,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Start {
+    Request { method: String, target: String },
+    Response { status: u16 },
+}
+
+/// A message's head.
+#[derive(Debug, Clone)]
+pub struct Head {
+    pub start: Start,
+    /// Names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// The connection may carry another message after this one.
+    pub keep_alive: bool,
+}
+
+impl Head {
+    /// The value of a header that stands there once; twice is `Err`.
+    pub fn one(&self, name: &str) -> Result<Option<&str>, Bad> {
+        let mut found = self.headers.iter().filter(|h| h.0 == name).map(|h| h.1.as_str());
+        let first = found.next();
+        if found.next().is_some() { Err(Bad::Malformed) } else { Ok(first) }
+    }
+
+    fn lists(&self, name: &str, token: &str) -> bool {
+        let values = self.headers.iter().filter(|h| h.0 == name);
+        values.flat_map(|h| h.1.split(',')).any(|t| t.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// The client waits for leave to send its body.
+    pub fn expects_leave(&self) -> bool {
+        self.lists("expect", "100-continue")
+    }
+
+    /// The headers that concern both ends, not one connection.
+    pub fn end_to_end(&self) -> impl Iterator<Item = (&str, &str)> {
+        const HOP: [&str; 10] = [
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect",
+            "proxy-authenticate",
+        ];
+        let passes = |h: &&(String, String)| !HOP.contains(&h.0.as_str()) && !self.lists("connection", &h.0);
+        self.headers.iter().filter(passes).map(|h| (h.0.as_str(), h.1.as_str()))
+    }
+}
+
+enum State {
+    Head { scanned: usize },
+    Length(usize),
+    ChunkSize,
+    Chunk(usize),
+    ChunkEnd,
+    Trailer(usize),
+    UntilEnd,
+    Done,
+}
+
+/// Reads one message after the other.
+pub struct Parser {
+    requests: bool,
+    /// Longest body; a stream that is emptied as it comes has none.
+    most_body: usize,
+    state: State,
+    pub head: Option<Head>,
+    pub body: Vec<u8>,
+}
+
+impl Parser {
+    pub fn requests() -> Parser {
+        let state = State::Head { scanned: 0 };
+        Parser { requests: true, most_body: MOST_BODY, state, head: None, body: Vec::new() }
+    }
+
+    pub fn responses() -> Parser {
+        Parser { requests: false, ..Parser::requests() }
+    }
+
+    pub fn with_most_body(self, most_body: usize) -> Parser {
+        Parser { most_body, ..self }
+    }
+
+    /// Takes what it can of `input`; tells how much, and stops at the end of a message.
+    pub fn feed(&mut self, input: &[u8]) -> Result<usize, Bad> {
+        let mut used = 0;
+        loop {
+            let rest = &input[used..];
+            match self.state {
+                State::Done => return Ok(used),
+                State::Head { scanned } => {
+                    // Empty lines before a request line are passed over.
+                    if self.requests && rest.starts_with(b"\r\n") {
+                        used += 2;
+                        self.state = State::Head { scanned: 0 };
+                        continue;
+                    }
+                    let from = scanned.min(rest.len()).saturating_sub(3);
+                    let Some(end) = find(&rest[from..], b"\r\n\r\n").map(|at| from + at + 4) else {
+                        if rest.len() > MOST_HEAD {
+                            return Err(Bad::HeadTooLarge);
+                        }
+                        self.state = State::Head { scanned: rest.len() };
+                        return Ok(used);
+                    };
+                    if end > MOST_HEAD {
+                        return Err(Bad::HeadTooLarge);
+                    }
+                    let head = parse_head(&rest[..end - 2], self.requests)?;
+                    used += end;
+                    // An interim answer is not the answer.
+                    if matches!(head.start, Start::Response { status: 100..=199 }) {
+                        self.state = State::Head { scanned: 0 };
+                        continue;
+                    }
+                    self.state = self.framing(&head)?;
+                    self.head = Some(head);
+                }
+                State::Length(left) | State::Chunk(left) => {
+                    let count = left.min(rest.len());
+                    self.take(&rest[..count])?;
+                    used += count;
+                    let chunked = matches!(self.state, State::Chunk(_));
+                    self.state = match (left - count, chunked) {
+                        (0, true) => State::ChunkEnd,
+                        (0, false) => State::Done,
+                        (more, true) => State::Chunk(more),
+                        (more, false) => State::Length(more),
+                    };
+                    if count < left {
+                        return Ok(used);
+                    }
+                }
+                State::ChunkSize => {
+                    let Some(line) = line(rest, MOST_CHUNK_LINE)? else { return Ok(used) };
+                    used += line.len() + 2;
+                    self.state = match chunk_size(line)? {
+                        0 => State::Trailer(0),
+                        size => State::Chunk(size),
+                    };
+                }
+                State::ChunkEnd => {
+                    if rest.len() < 2 {
+                        return Ok(used);
+                    }
+                    if !rest.starts_with(b"\r\n") {
+                        return Err(Bad::Malformed);
+                    }
+                    used += 2;
+                    self.state = State::ChunkSize;
+                }
+                State::Trailer(read) => {
+                    let Some(line) = line(rest, MOST_HEAD)? else { return Ok(used) };
+                    used += line.len() + 2;
+                    if read + line.len() > MOST_HEAD {
+                        return Err(Bad::HeadTooLarge);
+                    }
+                    self.state =
+                        if line.is_empty() { State::Done } else { State::Trailer(read + line.len() + 2) };
+                }
+                State::UntilEnd => {
+                    self.take(rest)?;
+                    return Ok(input.len());
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, bytes: &[u8]) -> Result<(), Bad> {
+        if self.body.len() + bytes.len() > self.most_body {
+            return Err(Bad::BodyTooLarge);
+        }
+        self.body.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// How the body is framed. Both length and chunks, lengths that differ, or codings other than chunks are
+    /// refused: they are how requests are smuggled past a proxy.
+    fn framing(&self, head: &Head) -> Result<State, Bad> {
+        let length = head.one("content-length")?;
+        match (head.one("transfer-encoding")?, length) {
+            (Some(_), Some(_)) => Err(Bad::Malformed),
+            (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(State::ChunkSize),
+            (Some(_), None) => Err(Bad::Malformed),
+            (None, Some(length)) => {
+                if length.is_empty() || !length.bytes().all(|b| b.is_ascii_digit()) {
+                    return Err(Bad::Malformed);
+                }
+                match length.parse::<usize>() {
+                    Ok(0) => Ok(State::Done),
+                    Ok(size) if size <= self.most_body => Ok(State::Length(size)),
+                    _ => Err(Bad::BodyTooLarge),
+                }
+            }
+            (None, None) => match head.start {
+                Start::Request { .. } | Start::Response { status: 204 | 304 } => Ok(State::Done),
+                Start::Response { .. } => Ok(State::UntilEnd),
+            },
+        }
+    }
+
+    /// The message is whole.
+    pub fn is_done(&self) -> bool {
+        matches!(self.state, State::Done)
+    }
+
+    /// Nothing of a message has come yet.
+    pub fn is_fresh(&self) -> bool {
+        matches!(self.state, State::Head { scanned: 0 })
+    }
+
+    /// The head has come and the body has not begun.
+    pub fn awaits_body(&self) -> bool {
+        self.body.is_empty() && matches!(self.state, State::Length(_) | State::ChunkSize)
+    }
+
+    /// The other side has ended its sending: tells whether that completes the message.
+    pub fn end(&mut self) -> bool {
+        if matches!(self.state, State::UntilEnd) {
+            self.state = State::Done;
+        }
+        self.is_done()
+    }
+
+    /// Hands out a whole message and starts on the next.
+    pub fn message(&mut self) -> Option<(Head, Vec<u8>)> {
+        let head = if self.is_done() { self.head.take() } else { None }?;
+        self.state = State::Head { scanned: 0 };
+        Some((head, std::mem::take(&mut self.body)))
+    }
+}
+
+fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
+    haystack.windows(needle.len()).position(|window| window == needle)
+}
+
+/// A line without its end; `None` while its end has not come.
+fn line(input: &[u8], most: usize) -> Result<Option<&[u8]>, Bad> {
+    match find(input, b"\r\n") {
+        Some(end) if end <= most => Ok(Some(&input[..end])),
+        None if input.len() <= most => Ok(None),
+        _ => Err(Bad::Malformed),
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Result<usize, Bad> {
+    let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii_end();
+    if digits.is_empty() || digits.len() > 8 || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return Err(Bad::Malformed);
+    }
+    let text = std::str::from_utf8(digits).map_err(|_| Bad::Malformed)?;
+    usize::from_str_radix(text, 16).map_err(|_| Bad::Malformed)
+}
+
+fn is_token(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b))
+}
+
+fn parse_head(bytes: &[u8], request: bool) -> Result<Head, Bad> {
+    let text = std::str::from_utf8(bytes).map_err(|_| Bad::Malformed)?;
+    // Neither a lone CR or LF nor another control character may pass: others may take it for a line's end.
+    let mut lines = text.split_terminator("\r\n");
+    if lines.clone().any(|line| line.bytes().any(|b| b.is_ascii_control() && b != b'\t')) {
+        return Err(Bad::Malformed);
+    }
+    let mut parts = lines.next().unwrap_or_default().splitn(3, ' ');
+    let mut part = || parts.next().unwrap_or_default();
+    let (first, second, third) = (part(), part(), part());
+    let (start, version) = if request {
+        let sound = is_token(first) && second.starts_with('/') && !third.contains(' ');
+        if !sound {
+            return Err(Bad::Malformed);
+        }
+        (Start::Request { method: first.into(), target: second.into() }, third)
+    } else {
+        let digits = second.len() == 3 && second.bytes().all(|b| b.is_ascii_digit());
+        let status = second.parse().ok().filter(|_| digits).ok_or(Bad::Malformed)?;
+        (Start::Response { status }, first)
+    };
+    let modern = match version {
+        "HTTP/1.1" => true,
+        "HTTP/1.0" => false,
+        other if other.starts_with("HTTP/") => return Err(Bad::Version),
+        _ => return Err(Bad::Malformed),
+    };
+    let mut headers = Vec::new();
+    for line in lines {
+        // A name that isn't a token also covers folded lines and a space before the colon.
+        let (name, value) = line.split_once(':').filter(|(name, _)| is_token(name)).ok_or(Bad::Malformed)?;
+        if headers.len() == MOST_HEADERS {
+            return Err(Bad::HeadTooLarge);
+        }
+        headers.push((name.to_ascii_lowercase(), value.trim_matches([' ', '\t']).to_string()));
+    }
+    let mut head = Head { start, headers, keep_alive: modern };
+    if head.lists("connection", "close") {
+        head.keep_alive = false;
+    } else if head.lists("connection", "keep-alive") {
+        head.keep_alive = true;
+    }
+    if request && modern && head.one("host")?.is_none() {
+        return Err(Bad::Malformed);
+    }
+    Ok(head)
+}
+
+/// Writes a message: its first line, its headers and a body of known length.
+pub fn write<'a>(
+    first: &str,
+    headers: impl IntoIterator<Item = (&'a str, &'a str)>,
+    body: Option<&[u8]>,
+) -> Vec<u8> {
+    let mut out = Vec::with_capacity(512 + body.map_or(0, <[u8]>::len));
+    out.extend_from_slice(first.as_bytes());
+    out.extend_from_slice(b"\r\n");
+    for (name, value) in headers {
+        for part in [name, ": ", value, "\r\n"] {
+            out.extend_from_slice(part.as_bytes());
+        }
+    }
+    if let Some(body) = body {
+        out.extend_from_slice(format!("content-length: {}\r\n", body.len()).as_bytes());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body.unwrap_or_default());
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Feeds byte by byte, as the worst of networks would, then in one piece: both must agree.
+    fn read(mut parser: impl FnMut() -> Parser, input: &str) -> Result<Option<(Head, String)>, Bad> {
+        let run = |mut parser: Parser, step: usize| {
+            let (mut held, mut fed) = (Vec::new(), 0);
+            while fed < input.len() && !parser.is_done() {
+                let upto = (fed + step).min(input.len());
+                held.extend_from_slice(&input.as_bytes()[fed..upto]);
+                fed = upto;
+                let used = parser.feed(&held)?;
+                held.drain(..used);
+            }
+            Ok(parser.message().map(|(head, body)| (head, String::from_utf8(body).unwrap())))
+        };
+        let (slow, fast) = (run(parser(), 1), run(parser(), input.len()));
+        let plain = |found: &Result<Option<(Head, String)>, Bad>| match found {
+            Ok(message) => Ok(message.as_ref().map(|m| m.1.clone())),
+            Err(bad) => Err(*bad),
+        };
+        assert_eq!(plain(&slow), plain(&fast), "{input:?}");
+        fast
+    }
+
+    fn request(input: &str) -> Result<Option<(Head, String)>, Bad> {
+        read(Parser::requests, input)
+    }
+
+    #[test]
+    fn reads_requests_and_responses_in_pieces() {
+        let (head, body) =
+            request("\r\nPOST /api?x=1 HTTP/1.1\r\nHost: a\r\nX-Txn:  b \r\nContent-Length: 3\r\n\r\nabc")
+                .unwrap()
+                .unwrap();
+        assert_eq!(head.start, Start::Request { method: "POST".into(), target: "/api?x=1".into() });
+        assert_eq!((head.one("x-txn"), head.keep_alive, body.as_str()), (Ok(Some("b")), true, "abc"));
+        let chunked = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n\
+             3;e=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n";
+        let (head, body) = read(Parser::responses, chunked).unwrap().unwrap();
+        assert_eq!((head.keep_alive, body.as_str()), (false, "abcde"));
+        let mut until_end = Parser::responses();
+        until_end.feed(b"HTTP/1.0 200 OK\r\n\r\nabc").unwrap();
+        assert!(!until_end.is_done() && until_end.end());
+        assert!(request("GET / HTTP/1.1\r\nHost: a\r\n").unwrap().is_none());
+    }
+
+    #[test]
+    fn refuses_what_two_readers_could_read_in_two_ways() {
+        for (headers, bad) in [
+            ("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", Bad::Malformed),
+            ("Content-Length: 3\r\nContent-Length: 4\r\n", Bad::Malformed),
+            ("Content-Length: +3\r\n", Bad::Malformed),
+            ("Content-Length: 3, 3\r\n", Bad::Malformed),
+            ("Transfer-Encoding: gzip, chunked\r\n", Bad::Malformed),
+            ("Transfer-Encoding : chunked\r\n", Bad::Malformed),
+            ("A: b\r\n c\r\n", Bad::Malformed),
+            ("A: b\nC: d\r\n", Bad::Malformed),
+            ("Host: b\r\n", Bad::Malformed),
+            ("Content-Length: 65537\r\n", Bad::BodyTooLarge),
+            ("Content-Length: 99999999999999999999999\r\n", Bad::BodyTooLarge),
+            (&format!("A: {}\r\n", "x".repeat(MOST_HEAD)), Bad::HeadTooLarge),
+            (&"A: b\r\n".repeat(MOST_HEADERS + 1), Bad::HeadTooLarge),
+        ] {
+            let found = request(&format!("POST /api HTTP/1.1\r\nHost: a\r\n{headers}\r\n"));
+            assert_eq!(found.err(), Some(bad), "{headers:.60}");
+        }
+        for (first, bad) in [
+            ("GET /api HTTP/2.0", Bad::Version),
+            ("GET /api", Bad::Malformed),
+            ("GET  /api HTTP/1.1", Bad::Malformed),
+            ("GET api HTTP/1.1", Bad::Malformed),
+            ("G(T /api HTTP/1.1", Bad::Malformed),
+        ] {
+            assert_eq!(request(&format!("{first}\r\nHost: a\r\n\r\n")).err(), Some(bad), "{first}");
+        }
+        let chunks = "POST /api HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for body in ["x\r\n", "-1\r\n", "FFFFFFFFF\r\n", "1\r\nabc"] {
+            assert_eq!(request(&format!("{chunks}{body}")).err(), Some(Bad::Malformed), "{body}");
+        }
+        let flood = format!("{chunks}{}", "8000\r\n".to_owned() + &"x".repeat(0x8000) + "\r\n").repeat(1)
+            + &("8000\r\n".to_owned() + &"x".repeat(0x8000) + "\r\n").repeat(2);
+        assert_eq!(request(&flood).err(), Some(Bad::BodyTooLarge));
+    }
+
+    #[test]
+    fn passes_on_what_concerns_both_ends_only() {
+        let (head, _) = request(
+            "GET / HTTP/1.1\r\nHost: a\r\nX-Txn: t\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: x\r\n\r\n",
+        )
+        .unwrap()
+        .unwrap();
+        assert_eq!(head.end_to_end().collect::<Vec<_>>(), [("host", "a"), ("x-txn", "t")]);
+        assert_eq!(write("GET / HTTP/1.1", [("a", "b")], None), b"GET / HTTP/1.1\r\na: b\r\n\r\n");
+        assert!(write("X", [], Some(b"abc")).ends_with(b"content-length: 3\r\n\r\nabc"));
+    }
+}
--- /dev/null
+++ b/node/src/net.rs
@@ -0,0 +1,51 @@
+//! Sockets: non-blocking, closed on exec, without Nagle's delay.
+
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+
+use rustix::io::Errno;
+use rustix::net::{
+    AddressFamily, SocketFlags, SocketType, accept_with, bind, connect, listen, socket_with, sockopt,
+};
+
+const FLAGS: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
+
+fn stream(address: SocketAddr) -> Result<OwnedFd, Errno> {
+    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    socket_with(family, SocketType::STREAM, FLAGS, None)
+}
+
+pub fn listener(address: SocketAddr) -> Result<OwnedFd, Errno> {
+    let socket = stream(address)?;
+    // A node that starts again must not wait for the old one's connections to fade.
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    bind(&socket, &address)?;
+    listen(&socket, 1024)?;
+    Ok(socket)
+}
+
+/// The next client; `None` when there is none.
+pub fn accept(listener: &OwnedFd) -> Result<Option<OwnedFd>, Errno> {
+    loop {
+        match accept_with(listener, FLAGS) {
+            Ok(socket) => {
+                sockopt::set_tcp_nodelay(&socket, true)?;
+                return Ok(Some(socket));
+            }
+            Err(Errno::AGAIN) => return Ok(None),
+            // A client that left while it waited is no reason to stop.
+            Err(Errno::INTR | Errno::CONNABORTED) => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Starts a connection; it is up once the socket can be written to.
+pub fn dial(address: SocketAddr) -> Result<OwnedFd, Errno> {
+    let socket = stream(address)?;
+    sockopt::set_tcp_nodelay(&socket, true)?;
+    match connect(&socket, &address) {
+        Ok(()) | Err(Errno::INPROGRESS) => Ok(socket),
+        Err(error) => Err(error),
+    }
+}
--- /dev/null
+++ b/node/src/req.rs
@@ -0,0 +1,385 @@
+//! The life of a req, and the bridge to the decisions: what happens to a req becomes an `Event`, what is
+//! decided becomes an `Order` to whoever holds the connections. Nothing here knows how a req or its answer
+//! looks on a wire: `C`, what is carried to the backend, belongs to the codec.
+
+use std::collections::VecDeque;
+
+use kitefork::{
+    Action, BackendId, Balancer, ClassId, Effect, Event, Group, Nanos, Outcome, Request, RequestId, Settings,
+    SettingsError, TenantId, TimerId,
+};
+
+use crate::slots::Slots;
+
+/// A req as the client put it.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    pub class: u16,
+    pub tenant: u16,
+    /// How long the client still waits.
+    pub patience: Nanos,
+    pub work_hint: Option<Nanos>,
+    pub client_retry: bool,
+}
+
+/// A final answer that no backend made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Synthetic {
+    /// Trying again is harmless.
+    Refused {
+        retry_after: Nanos,
+    },
+    Failed,
+    TimedOut,
+}
+
+/// What is to be done on the connections.
+#[derive(Debug, PartialEq)]
+pub enum Order {
+    /// Start a fetch. It must be abandoned at `until`, and be written whole by `write_by` or not at all.
+    Fetch {
+        req: u32,
+        attempt: u8,
+        backend: BackendId,
+        until: Nanos,
+        write_by: Nanos,
+    },
+    /// Close the connection of a fetch.
+    Stop {
+        req: u32,
+        attempt: u8,
+    },
+    /// Give the client session `owner` its final answer.
+    Answer {
+        owner: u32,
+        answer: Synthetic,
+    },
+    CloseIdle(BackendId),
+    Probe(BackendId),
+    Timer {
+        at: Nanos,
+        timer: TimerId,
+    },
+    Watch(bool),
+    FetchList,
+    Log(String),
+}
+
+struct Attempt {
+    sent: Nanos,
+    /// `None` while it is out.
+    outcome: Option<Outcome>,
+}
+
+struct Req<C> {
+    owner: u32,
+    cargo: C,
+    effect: Effect,
+    deadline: Nanos,
+    attempts: Vec<Attempt>,
+    /// It has its final answer, or nobody waits for one.
+    over: bool,
+    last_outcome: Option<Outcome>,
+}
+
+impl<C> Req<C> {
+    fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.outcome.is_none()).count()
+    }
+
+    fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|a| a.outcome.is_none_or(|o| !o.never_ran()))
+    }
+
+    /// Whether "trying again is harmless" is true.
+    fn refusable(&self) -> bool {
+        match self.effect {
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Unsafe => self.may_have_run().next().is_none(),
+        }
+    }
+
+    /// Until when another attempt may reach a backend.
+    fn write_by(&self) -> Nanos {
+        match self.effect {
+            Effect::Keyed { window, .. } => {
+                self.may_have_run().map(|a| a.sent.saturating_add(window)).min().unwrap_or(Nanos::MAX)
+            }
+            _ => Nanos::MAX,
+        }
+    }
+}
+
+pub struct Reqs<C> {
+    balancer: Balancer,
+    table: Slots<Req<C>>,
+    effects: Vec<Effect>,
+    max_attempts: usize,
+    second_copies: bool,
+    slack: Nanos,
+    actions: Vec<Action>,
+    /// What is to be done, in the order in which it was decided.
+    pub orders: VecDeque<Order>,
+}
+
+impl<C> Reqs<C> {
+    pub fn new(settings: Settings, seed: u64, most: usize, now: Nanos) -> Result<Reqs<C>, SettingsError> {
+        Ok(Reqs {
+            table: Slots::new(most),
+            effects: settings.classes.iter().map(|class| class.effect).collect(),
+            max_attempts: settings.limits.max_attempts as usize,
+            second_copies: settings.limits.second_copies,
+            slack: settings.rules.answer_slack,
+            balancer: Balancer::new(settings, seed, now)?,
+            actions: Vec::new(),
+            orders: VecDeque::new(),
+        })
+    }
+
+    /// Takes up a req; gives its number and the time of its last resort. `None`: no more are held.
+    pub fn open(&mut self, now: Nanos, owner: u32, ask: &Ask, cargo: C) -> Option<(u32, Nanos)> {
+        let id = self.table.insert(Req {
+            owner,
+            cargo,
+            effect: self.effects[usize::from(ask.class)],
+            deadline: now.saturating_add(ask.patience),
+            attempts: Vec::new(),
+            over: false,
+            last_outcome: None,
+        })?;
+        let request = Request {
+            id: RequestId(id),
+            class: ClassId(ask.class),
+            tenant: TenantId(ask.tenant),
+            // No request of ours names its subject, and no decision asks for it.
+            key: 0,
+            patience: ask.patience,
+            work_hint: ask.work_hint,
+            client_retry: ask.client_retry,
+            write: !matches!(self.effects[usize::from(ask.class)], Effect::Safe),
+        };
+        self.feed(now, Event::Request(request));
+        Some((id, now.saturating_add(ask.patience).saturating_add(self.slack)))
+    }
+
+    pub fn cargo(&self, id: u32) -> Option<&C> {
+        self.table.get(id).map(|req| &req.cargo)
+    }
+
+    /// An attempt has ended. Gives the client session that is now to be served with its answer, if it is the
+    /// req's first and the client still waits.
+    pub fn ended(&mut self, now: Nanos, id: u32, attempt: u8, outcome: Outcome) -> Option<u32> {
+        let req = self.table.get_mut(id)?;
+        let ended = req.attempts.get_mut(usize::from(attempt)).filter(|a| a.outcome.is_none())?;
+        ended.outcome = Some(outcome);
+        let latency = now.saturating_sub(ended.sent);
+        req.last_outcome = Some(outcome);
+        let served = (outcome == Outcome::Ok && !req.over).then_some(req.owner);
+        req.over |= outcome == Outcome::Ok;
+        let finished = req.over;
+        let request = RequestId(id);
+        self.feed(now, Event::Outcome { request, attempt, latency, outcome, finished, load: Vec::new() });
+        self.forget(id);
+        served
+    }
+
+    /// The client has gone.
+    pub fn gone(&mut self, now: Nanos, id: u32) {
+        if let Some(req) = self.table.get_mut(id).filter(|req| !req.over) {
+            req.over = true;
+            self.feed(now, Event::ClientGone { request: RequestId(id) });
+            self.forget(id);
+        }
+    }
+
+    /// The last resort: a req without an answer a little after its client's patience fails here, whatever the
+    /// decisions think. Guards against a req that is forgotten anywhere.
+    pub fn expire(&mut self, now: Nanos, id: u32) -> bool {
+        let waits = self.table.get(id).is_some_and(|req| !req.over);
+        if waits {
+            self.answer(id, Synthetic::TimedOut);
+            self.feed(now, Event::ClientGone { request: RequestId(id) });
+            self.forget(id);
+        }
+        waits
+    }
+
+    /// Every req that has no answer yet.
+    pub fn unanswered(&self) -> Vec<u32> {
+        self.table.iter().filter(|(_, req)| !req.over).map(|(id, _)| id).collect()
+    }
+
+    /// Tells the decisions what happened and turns what they decide into orders.
+    pub fn feed(&mut self, now: Nanos, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.balancer.handle(now, event, &mut actions);
+        let mut moot = Vec::new();
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { request, backend, until } => {
+                    moot.extend(self.send(now, request.0, backend, until));
+                }
+                Action::Refuse { request, retry_after } => {
+                    self.answer(request.0, Synthetic::Refused { retry_after });
+                    self.forget(request.0);
+                }
+                Action::Fail { request } => {
+                    self.answer(request.0, Synthetic::Failed);
+                    self.forget(request.0);
+                }
+                Action::Cancel { request, attempt } => {
+                    self.orders.push_back(Order::Stop { req: request.0, attempt });
+                }
+                Action::SetTimer { at, timer } => self.orders.push_back(Order::Timer { at, timer }),
+                Action::Probe { backend } => self.orders.push_back(Order::Probe(backend)),
+                Action::CloseIdle { backend } => self.orders.push_back(Order::CloseIdle(backend)),
+                Action::Subscribe(on) => self.orders.push_back(Order::Watch(on)),
+                Action::FetchList => self.orders.push_back(Order::FetchList),
+                Action::Log(line) => self.orders.push_back(Order::Log(line)),
+                Action::Tell { .. } => {
+                    self.orders.push_back(Order::Log("a message to peers is not carried".into()));
+                }
+            }
+        }
+        self.actions = actions;
+        for (id, attempt) in moot {
+            self.ended(now, id, attempt, Outcome::Moot);
+        }
+    }
+
+    /// Starts an attempt, or names it when it must not go out: the rules hold here too, should a decision
+    /// ever be wrong.
+    fn send(&mut self, now: Nanos, id: u32, backend: BackendId, until: Nanos) -> Option<(u32, u8)> {
+        let req = self.table.get_mut(id)?;
+        let attempt = u8::try_from(req.attempts.len()).ok()?;
+        let until = if until == 0 { req.deadline } else { until.min(req.deadline) };
+        let barred = req.over
+            || now >= req.deadline
+            || req.attempts.len() >= self.max_attempts
+            || (!self.second_copies && req.out() > 0)
+            || (req.effect == Effect::Unsafe && req.may_have_run().next().is_some())
+            || now > req.write_by();
+        let write_by = req.write_by();
+        req.attempts.push(Attempt { sent: now, outcome: None });
+        if barred {
+            return Some((id, attempt));
+        }
+        self.orders.push_back(Order::Fetch { req: id, attempt, backend, until, write_by });
+        None
+    }
+
+    /// Gives the final answer, once. A refusal promises that trying again is harmless; where that is not so
+    /// it becomes a failure.
+    fn answer(&mut self, id: u32, answer: Synthetic) {
+        let Some(req) = self.table.get_mut(id).filter(|req| !req.over) else { return };
+        req.over = true;
+        let answer = match answer {
+            Synthetic::Refused { .. } if !req.refusable() => Synthetic::Failed,
+            other => other,
+        };
+        let answer = match answer {
+            Synthetic::Failed if req.last_outcome == Some(Outcome::Timeout) => Synthetic::TimedOut,
+            other => other,
+        };
+        self.orders.push_back(Order::Answer { owner: req.owner, answer });
+    }
+
+    /// Ends a req that is over and has nothing out.
+    fn forget(&mut self, id: u32) {
+        if self.table.get(id).is_some_and(|req| req.over && req.out() == 0) {
+            self.table.remove(id);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::clock::{MS, SECOND};
+    use kitefork::{Backend, BackendState, CellId, Class, ListKind};
+
+    const NOW: Nanos = 100 * SECOND;
+
+    fn reqs(effect: Effect) -> Reqs<()> {
+        let class = Class { aim: SECOND, deadline: 5 * SECOND, worth: 1.0, effect, ..Class::default() };
+        let mut settings = Settings { classes: vec![class], ..Settings::default() };
+        settings.limits.second_copies = false;
+        let mut reqs = Reqs::new(settings, 1, 4, NOW).unwrap();
+        let state = BackendState::Ready;
+        let backend = |id| Backend { id: BackendId(id), cell: CellId(0), state, ..Backend::default() };
+        reqs.feed(NOW, Event::List { kind: ListKind::Full, backends: vec![backend(1), backend(2)] });
+        reqs
+    }
+
+    fn open(reqs: &mut Reqs<()>) -> u32 {
+        let ask = Ask { class: 0, tenant: 0, patience: SECOND, work_hint: None, client_retry: false };
+        reqs.open(NOW, 77, &ask, ()).unwrap().0
+    }
+
+    fn answers(reqs: &mut Reqs<()>) -> Vec<Synthetic> {
+        let answer = |order| match order {
+            Order::Answer { owner: 77, answer } => Some(answer),
+            _ => None,
+        };
+        reqs.orders.drain(..).filter_map(answer).collect()
+    }
+
+    #[test]
+    fn one_answer_whatever_comes_after_it() {
+        let mut reqs = reqs(Effect::Safe);
+        let id = open(&mut reqs);
+        assert_eq!(reqs.ended(NOW + MS, id, 0, Outcome::Ok), Some(77));
+        assert_eq!(reqs.ended(NOW + MS, id, 0, Outcome::Ok), None);
+        assert!(!reqs.expire(NOW + 2 * SECOND, id) && answers(&mut reqs).is_empty());
+        assert!(reqs.unanswered().is_empty() && reqs.cargo(id).is_none());
+    }
+
+    #[test]
+    fn the_last_resort_answers_stops_the_fetch_and_keeps_the_req_until_that_has_ended() {
+        let mut reqs = reqs(Effect::Safe);
+        let id = open(&mut reqs);
+        assert!(reqs.expire(NOW + SECOND, id));
+        assert!(reqs.orders.contains(&Order::Stop { req: id, attempt: 0 }));
+        assert_eq!(answers(&mut reqs), [Synthetic::TimedOut]);
+        assert!(reqs.cargo(id).is_some());
+        assert_eq!(reqs.ended(NOW + SECOND, id, 0, Outcome::Cancelled), None);
+        assert!(reqs.cargo(id).is_none() && answers(&mut reqs).is_empty());
+    }
+
+    #[test]
+    fn no_refusal_of_what_may_have_run() {
+        for (effect, outcome, wanted) in [
+            (Effect::Unsafe, Outcome::Reset, Synthetic::Failed),
+            (Effect::Unsafe, Outcome::Timeout, Synthetic::TimedOut),
+            (Effect::Unsafe, Outcome::Full, Synthetic::Refused { retry_after: 0 }),
+            (Effect::Keyed { group: Group::Cell, window: 1 }, Outcome::Error, Synthetic::Failed),
+            (
+                Effect::Keyed { group: Group::All, window: 1 },
+                Outcome::Error,
+                Synthetic::Refused { retry_after: 0 },
+            ),
+        ] {
+            let mut reqs = reqs(effect);
+            let id = open(&mut reqs);
+            // After a first answer nothing is decided any more, so the guard is met directly.
+            reqs.table.get_mut(id).unwrap().attempts[0].outcome = Some(outcome);
+            reqs.table.get_mut(id).unwrap().last_outcome = Some(outcome);
+            reqs.answer(id, Synthetic::Refused { retry_after: 0 });
+            assert_eq!(answers(&mut reqs), [wanted], "{effect:?} {outcome:?}");
+        }
+    }
+
+    #[test]
+    fn a_repeat_must_be_written_within_the_window_of_the_attempt_that_may_have_run() {
+        let mut reqs = reqs(Effect::Keyed { group: Group::Cell, window: 300 * MS });
+        let id = open(&mut reqs);
+        assert_eq!(reqs.table.get(id).unwrap().write_by(), NOW + 300 * MS);
+        reqs.table.get_mut(id).unwrap().attempts[0].outcome = Some(Outcome::Reset);
+        assert_eq!(reqs.send(NOW + 301 * MS, id, BackendId(2), 0), Some((id, 1)));
+        let req = reqs.table.get_mut(id).unwrap();
+        req.attempts[1].outcome = Some(Outcome::Moot);
+        assert_eq!(reqs.send(NOW + 299 * MS, id, BackendId(2), 0), None);
+        // Never two at once.
+        assert_eq!(reqs.send(NOW + 299 * MS, id, BackendId(2), 0), Some((id, 3)));
+    }
+}
--- /dev/null
+++ b/node/src/ring.rs
@@ -0,0 +1,161 @@
+//! One ring buffer for each direction of a connection: starts small, grows to its cap, and gives its memory
+//! back when it has run empty.
+
+use std::os::fd::AsFd;
+
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, SendFlags};
+
+const START: usize = 2 * 1024;
+
+pub struct Ring {
+    store: Vec<u8>,
+    head: usize,
+    len: usize,
+    cap: usize,
+}
+
+/// What reading a socket came to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Read {
+    Some,
+    /// Nothing there now.
+    Dry,
+    /// The ring is at its cap.
+    Full,
+    /// The other side has ended its sending.
+    End,
+    Broken,
+}
+
+impl Ring {
+    pub fn new(cap: usize) -> Ring {
+        Ring { store: Vec::new(), head: 0, len: 0, cap }
+    }
+
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Room for at least `more` bytes, within the cap; tells whether there is.
+    fn grow(&mut self, more: usize) -> bool {
+        let wanted = self.len + more;
+        if wanted > self.cap {
+            return false;
+        }
+        if wanted > self.store.len() {
+            self.straighten();
+            let size = wanted.next_power_of_two().max(START).min(self.cap);
+            self.store.resize(size, 0);
+        }
+        true
+    }
+
+    fn straighten(&mut self) {
+        self.store.rotate_left(self.head);
+        self.head = 0;
+    }
+
+    /// All that it holds, in one piece.
+    pub fn bytes(&mut self) -> &[u8] {
+        if self.head + self.len > self.store.len() {
+            self.straighten();
+        }
+        &self.store[self.head..self.head + self.len]
+    }
+
+    pub fn consume(&mut self, count: usize) {
+        self.len -= count;
+        self.head = if self.len == 0 { 0 } else { (self.head + count) % self.store.len() };
+        if self.len == 0 && self.store.len() > START {
+            self.store = Vec::new();
+        }
+    }
+
+    /// Appends; tells whether it had room, and appends nothing otherwise.
+    #[must_use]
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
+        if !self.grow(bytes.len()) {
+            return false;
+        }
+        let size = self.store.len();
+        let start = if size == 0 { 0 } else { (self.head + self.len) % size };
+        let first = bytes.len().min(size - start);
+        self.store[start..start + first].copy_from_slice(&bytes[..first]);
+        self.store[..bytes.len() - first].copy_from_slice(&bytes[first..]);
+        self.len += bytes.len();
+        true
+    }
+
+    /// One read from a socket.
+    pub fn read_from(&mut self, socket: impl AsFd) -> Read {
+        if self.len == self.store.len() && !self.grow((self.len.max(START)).min(self.cap - self.len).max(1)) {
+            return Read::Full;
+        }
+        let size = self.store.len();
+        let start = (self.head + self.len) % size;
+        let end = if start < self.head { self.head } else { size };
+        loop {
+            return match rustix::net::recv(&socket, &mut self.store[start..end], RecvFlags::empty()) {
+                Ok((0, _)) => Read::End,
+                Ok((count, _)) => {
+                    self.len += count;
+                    Read::Some
+                }
+                Err(Errno::INTR) => continue,
+                Err(Errno::AGAIN) => Read::Dry,
+                Err(_) => Read::Broken,
+            };
+        }
+    }
+
+    /// Writes as much as the socket takes; an error means that it has broken.
+    pub fn write_to(&mut self, socket: impl AsFd) -> Result<(), Errno> {
+        while self.len > 0 {
+            let end = (self.head + self.len).min(self.store.len());
+            match rustix::net::send(&socket, &self.store[self.head..end], SendFlags::NOSIGNAL) {
+                Ok(count) => self.consume(count),
+                Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn keeps_order_round_the_end_and_holds_to_its_cap() {
+    let mut ring = Ring::new(5000);
+    let bytes: Vec<u8> = (0..4000u32).map(|i| i as u8).collect();
+    assert!(ring.push(&bytes[..1500]));
+    ring.consume(1200);
+    assert!(ring.push(&bytes[1500..]));
+    assert_eq!(ring.bytes(), &bytes[1200..]);
+    assert!(!ring.push(&[0; 2500]));
+    ring.consume(2800);
+    assert!(ring.is_empty() && ring.store.is_empty());
+}
+
+#[test]
+fn carries_bytes_from_socket_to_socket_as_they_fit() {
+    let (near, far) = std::os::unix::net::UnixStream::pair().unwrap();
+    far.set_nonblocking(true).unwrap();
+    let mut ring = Ring::new(10);
+    assert!(ring.push(b"0123456789"));
+    ring.write_to(&near).unwrap();
+    let mut into = Ring::new(4);
+    assert_eq!((into.read_from(&far), into.bytes()), (Read::Some, &b"0123"[..]));
+    assert_eq!(into.read_from(&far), Read::Full);
+    into.consume(2);
+    assert_eq!((into.read_from(&far), into.bytes()), (Read::Some, &b"2345"[..]));
+    into.consume(4);
+    drop(near);
+    assert_eq!((into.read_from(&far), into.bytes()), (Read::Some, &b"6789"[..]));
+    into.consume(4);
+    assert_eq!(into.read_from(&far), Read::End);
+}
--- /dev/null
+++ b/node/src/wheel.rs
@@ -0,0 +1,119 @@
+//! Every deadline of the node: coarse ticks on a wheel. A deadline fires in the first round at or after its
+//! tick, so up to a tick late and never early. Nothing is taken off: whoever hung a deadline checks, when it
+//! fires, whether it still stands.
+
+use kitefork::Nanos;
+
+const SLOTS: usize = 1024;
+
+pub struct Wheel<T> {
+    tick: Nanos,
+    /// The last tick that was fired.
+    fired: u64,
+    slots: Vec<Vec<(u64, T)>>,
+}
+
+impl<T> Wheel<T> {
+    pub fn new(tick: Nanos, now: Nanos) -> Wheel<T> {
+        let slots = (0..SLOTS).map(|_| Vec::new()).collect();
+        Wheel { tick: tick.max(1), fired: now / tick.max(1), slots }
+    }
+
+    /// Hangs a deadline; one that has passed fires in the next round.
+    pub fn hang(&mut self, at: Nanos, what: T) {
+        let due = at.div_ceil(self.tick).max(self.fired + 1);
+        self.slots[due as usize % SLOTS].push((due, what));
+    }
+
+    /// Takes what is due by now, in order of ticks.
+    pub fn fire(&mut self, now: Nanos) -> Vec<T> {
+        let upto = now / self.tick;
+        let mut due = Vec::new();
+        // After a long pause one turn visits every slot.
+        let first = (self.fired + 1).max((upto + 1).saturating_sub(SLOTS as u64));
+        for tick in first..=upto {
+            let slot = &mut self.slots[tick as usize % SLOTS];
+            due.extend(slot.extract_if(.., |entry| entry.0 <= upto));
+        }
+        self.fired = self.fired.max(upto);
+        due.sort_by_key(|entry| entry.0);
+        due.into_iter().map(|entry| entry.1).collect()
+    }
+
+    /// When to look again: the next tick with something on it, of this turn or a later one.
+    pub fn next(&self) -> Option<Nanos> {
+        let ahead = self.fired + 1..=self.fired + SLOTS as u64;
+        let tick = ahead.into_iter().find(|tick| !self.slots[*tick as usize % SLOTS].is_empty())?;
+        Some(tick * self.tick)
+    }
+}
+
+/// A deadline that moves: of the entries that it has left on the wheel only one counts.
+#[derive(Clone, Copy)]
+pub struct Deadline {
+    at: Nanos,
+    hung: Nanos,
+}
+
+impl Deadline {
+    pub const NEVER: Nanos = Nanos::MAX;
+
+    pub fn new() -> Deadline {
+        Deadline { at: Self::NEVER, hung: Self::NEVER }
+    }
+
+    pub fn set<T>(&mut self, at: Nanos, wheel: &mut Wheel<T>, what: T) {
+        self.at = at;
+        if at < self.hung {
+            self.hung = at;
+            wheel.hang(at, what);
+        }
+    }
+
+    /// An entry has fired: tells whether the deadline is due, and hangs it anew where it has moved back.
+    pub fn is_due<T>(&mut self, now: Nanos, wheel: &mut Wheel<T>, what: T) -> bool {
+        if self.hung > now {
+            return false;
+        }
+        self.hung = Self::NEVER;
+        if self.at > now && self.at < Self::NEVER {
+            self.set(self.at, wheel, what);
+        }
+        self.at <= now
+    }
+}
+
+#[test]
+fn a_deadline_that_moves_is_due_once_and_at_its_last_time() {
+    let (mut wheel, mut deadline) = (Wheel::new(1, 0), Deadline::new());
+    deadline.set(5, &mut wheel, ());
+    deadline.set(9, &mut wheel, ());
+    deadline.set(3, &mut wheel, ());
+    deadline.set(7, &mut wheel, ());
+    let mut due = Vec::new();
+    for now in 1..12 {
+        for () in wheel.fire(now) {
+            if deadline.is_due(now, &mut wheel, ()) {
+                due.push(now);
+            }
+        }
+    }
+    assert_eq!(due, [7]);
+}
+
+#[test]
+fn fires_in_order_a_tick_late_at_most_and_never_early() {
+    let mut wheel = Wheel::new(5, 1_000);
+    for (at, name) in [(1_012, 'b'), (1_003, 'a'), (1_000 + 5 * SLOTS as u64 + 12, 'd'), (7, 'z')] {
+        wheel.hang(at, name);
+    }
+    assert_eq!(wheel.next(), Some(1_005));
+    assert_eq!(wheel.fire(1_004), []);
+    assert_eq!(wheel.fire(1_005), ['a', 'z']);
+    assert_eq!(wheel.fire(1_014), []);
+    assert_eq!(wheel.fire(1_015), ['b']);
+    // A turn later in the same slot; and a pause longer than a turn loses nothing.
+    wheel.hang(30_000, 'e');
+    assert_eq!(wheel.fire(90_000), ['d', 'e']);
+    assert_eq!(wheel.next(), None);
+}
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,158 @@
+//! The settings of a deployment, decoded once into what the decisions and the node use. Node and drill
+//! adapter share this decoder, so that both run on the same figures.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod json;
+
+use json::{Fault, Place};
+use kitefork::{Class, Effect, Group, Limits, Nanos, Rules, Settings, Tenant, ZoneId};
+
+/// What the node needs beyond the decisions: names, and limits on connections.
+pub struct Deployment {
+    /// What the decisions are told.
+    pub settings: Settings,
+    /// Names of the classes, in order.
+    pub classes: Vec<String>,
+    /// Names of the tenants, in order.
+    pub tenants: Vec<String>,
+    /// Names of the zones, in order.
+    pub zones: Vec<String>,
+    /// Names of the kinds of machine, in order.
+    pub kinds: Vec<String>,
+    /// A backend's machine closes a connection that has stood idle for this time.
+    pub idle_limit: Nanos,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Nanos,
+    /// Requests held at most.
+    pub most_held: usize,
+}
+
+/// Reads the settings object.
+pub fn read(root: &Place) -> Result<Deployment, Fault> {
+    let grades = root.get("grades")?.list()?;
+    let tenants = root.find("tenants").map_or(Ok(Vec::new()), |t| t.list())?;
+    let (limits, rules) = (root.get("limits")?, root.get("rules")?);
+    let within = |key: &str, inner: &str| root.find(key).and_then(|place| place.find(inner));
+    let settings = Settings {
+        classes: grades.iter().map(class).collect::<Result<_, _>>()?,
+        tenants: tenants
+            .iter()
+            .map(|t| Ok(Tenant { quota_per_s: t.or("quotaPerS", 0.0, Place::number)? }))
+            .collect::<Result<_, Fault>>()?,
+        zone: ZoneId(root.or("zone", 0, Place::narrow)?),
+        siblings: root.or("siblings", 1, Place::narrow)?,
+        ask_list: word(&root.get("membershipMode")?, &[("automatic", false), ("subscribe", true)])?,
+        tick: root.get("tickNs")?.whole()?,
+        over_quota_worth: root.or("overShareWorth", 1.0, Place::number)?,
+        worth_by_work: root
+            .find("worthBy")
+            .map_or(Ok(false), |place| word(&place, &[("request", false), ("work", true)]))?,
+        cross_zone_price: within("penalties", "crossZone").map_or(Ok(0.0), |place| place.number())?,
+        tail: within("goal", "tail").map_or(Ok(0.0), |place| place.number())?,
+        limits: Limits {
+            max_attempts: limits.get("maxAttempts")?.narrow()?,
+            second_copies: limits.or("parallelTries", false, Place::flag)?,
+            cancel: limits.or("cancel", false, Place::flag)?,
+            probes: limits.or("probes", false, Place::flag)?,
+            max_retry_after: match limits.or("retryAfter", false, Place::flag)? {
+                true => limits.or("maxRetryAfterNs", 0, Place::whole)?,
+                false => 0,
+            },
+        },
+        rules: Rules {
+            answer_slack: rules.or("answerSlackNs", 0, Place::whole)?,
+            drain_grace: rules.get("drainGraceNs")?.whole()?,
+            drain_close: rules.find("drainCloseNs").map(|place| place.whole()).transpose()?,
+            cold_from: rules.get("coldFrom")?.number()?,
+            cold: rules.get("coldNs")?.whole()?,
+            fall_multiple: rules.get("tipMultiple")?.number()?,
+            fall: rules.get("fallNs")?.whole()?,
+            ask_within: rules.or("askWithinNs", 10_000_000_000, Place::whole)?,
+        },
+    };
+    Ok(Deployment {
+        settings,
+        classes: names(&grades)?,
+        tenants: names(&tenants)?,
+        zones: texts(root, "azs")?,
+        kinds: texts(root, "kinds")?,
+        idle_limit: limits.or("connIdleNs", 10_000_000_000, Place::whole)?,
+        connect_timeout: limits.or("connectTimeoutNs", 250_000_000, Place::whole)?,
+        most_held: limits.or("mostHeld", 20_000, Place::narrow)?,
+    })
+}
+
+fn class(grade: &Place) -> Result<Class, Fault> {
+    let scopes = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let keyed = Effect::Keyed {
+        group: grade.find("keyScope").map_or(Ok(Group::Cell), |place| word(&place, &scopes))?,
+        window: grade.or("windowNs", 0, Place::whole)?,
+    };
+    let effects = [("repeatable", Effect::Safe), ("by_key", keyed), ("once", Effect::Unsafe)];
+    Ok(Class {
+        aim: grade.get("goalTimeNs")?.whole()?,
+        aim_stretch: grade.or("aimStretch", 0.0, Place::number)?,
+        deadline: grade.get("giveUpNs")?.whole()?,
+        worth: grade.get("importance")?.number()?,
+        late_worth: grade.or("lateValue", 0.0, Place::number)?,
+        effect: word(&grade.get("effect")?, &effects)?,
+        streamed: grade.or("streamed", false, Place::flag)?,
+    })
+}
+
+/// The meaning of one of a few words.
+fn word<T: Copy>(place: &Place, words: &[(&str, T)]) -> Result<T, Fault> {
+    let found = place.text()?;
+    let known = words.iter().find(|(name, _)| *name == found);
+    known.map(|(_, meaning)| *meaning).ok_or_else(|| place.bad(&format!("unknown word `{found}`")))
+}
+
+fn names(places: &[Place]) -> Result<Vec<String>, Fault> {
+    places.iter().map(|place| Ok(place.or("name", "", Place::text)?.to_string())).collect()
+}
+
+fn texts(root: &Place, key: &str) -> Result<Vec<String>, Fault> {
+    let Some(place) = root.find(key) else { return Ok(Vec::new()) };
+    place.list()?.iter().map(|entry| Ok(entry.text()?.to_string())).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use json::Tree;
+
+    const SETTINGS: &str = r#"{"siblings": 2, "zone": 1, "membershipMode": "subscribe", "novel": [],
+        "grades": [{"effect": "by_key", "keyScope": "zone", "windowNs": 7, "goalTimeNs": 5,
+                    "giveUpNs": 9, "importance": 2.5, "name": "reads"}], "stage": null,
+        "tickNs": 3, "limits": {"maxAttempts": 4, "maxRetryAfterNs": 8},
+        "rules": {"coldFrom": 0.5, "coldNs": 1, "drainGraceNs": 1, "fallNs": 1, "tipMultiple": 2}}"#;
+
+    fn parse(text: &str) -> Result<Deployment, Fault> {
+        read(&Tree::parse(text.as_bytes())?.root())
+    }
+
+    #[test]
+    fn reads_what_it_knows_and_passes_over_the_rest() {
+        let Deployment { settings, classes, .. } = parse(SETTINGS).unwrap();
+        assert!(settings.ask_list);
+        assert_eq!(settings.zone, ZoneId(1));
+        assert_eq!(settings.limits.max_retry_after, 0);
+        assert_eq!(settings.classes[0].effect, Effect::Keyed { group: Group::Zone, window: 7 });
+        assert_eq!(classes, ["reads"]);
+    }
+
+    #[test]
+    fn names_the_key_that_is_missing_or_wrong() {
+        let cases = [
+            ("tickNs", "tock", "missing field `tickNs`"),
+            ("\"coldNs\": 1", "\"coldNs\": \"x\"", "field `rules.coldNs`: must be a whole number"),
+            ("importance", "imp", "missing field `grades[0].importance`"),
+            ("by_key", "bye", "field `grades[0].effect`: unknown word `bye`"),
+        ];
+        for (old, new, wanted) in cases {
+            let fault = parse(&SETTINGS.replace(old, new)).err().unwrap();
+            assert!(fault.contains(wanted), "{fault}");
+        }
+    }
+}
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -3,7 +3,6 @@
 #![forbid(unsafe_code)]
 
 mod frame;
-mod settings;
 
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -11,6 +10,7 @@
 
 use frame::{FrameError, HEADER, Header, Lists, Message, Reply};
 use kitefork::Balancer;
+use kitefork_settings::json::Tree;
 use thiserror::Error;
 
 #[derive(Debug, Error)]
@@ -60,7 +60,8 @@
 }
 
 fn start(settings: &[u8], seed: u64, now: u64) -> Result<Balancer, String> {
-    let settings = settings::parse(settings).map_err(|e| format!("settings: {e}"))?;
+    let parsed = Tree::parse(settings).and_then(|tree| kitefork_settings::read(&tree.root()));
+    let settings = parsed.map_err(|e| format!("settings: {e}"))?.settings;
     Balancer::new(settings, seed, now).map_err(|e| e.to_string())
 }
 
