--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -689,7 +689,7 @@
     /// SIGKILL is near: whatever waits gets its answer now.
     fn end_drain(&mut self) {
         for req in self.reqs.unanswered() {
-            self.reqs.expire(self.now, req);
+            self.reqs.give_back(self.now, req);
         }
         self.settle();
         let numbers: Vec<u32> = self.sessions.iter().map(|(number, _)| number).collect();
--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -195,9 +195,20 @@
     /// The last resort: a req without an answer a little after its client's patience fails here, whatever the
     /// decisions think. Guards against a req that is forgotten anywhere.
     pub fn expire(&mut self, now: Nanos, id: u32) -> bool {
+        self.cut_short(now, id, Synthetic::TimedOut)
+    }
+
+    /// The node ends before the req has its answer. What never ran is refused, so that the client may go to
+    /// another node at once; what may have run has failed.
+    pub fn give_back(&mut self, now: Nanos, id: u32) {
+        self.cut_short(now, id, Synthetic::Refused { retry_after: 0 });
+    }
+
+    /// Answers a req over the head of the decisions; tells whether it still waited.
+    fn cut_short(&mut self, now: Nanos, id: u32, answer: Synthetic) -> bool {
         let waits = self.table.get(id).is_some_and(|req| !req.over);
         if waits {
-            self.answer(id, Synthetic::TimedOut);
+            self.answer(id, answer);
             self.feed(now, Event::ClientGone { request: RequestId(id) });
             self.forget(id);
         }
@@ -346,6 +357,20 @@
         assert!(reqs.cargo(id).is_none() && answers(&mut reqs).is_empty());
     }
 
+    #[test]
+    fn a_node_that_ends_refuses_what_never_ran_and_fails_what_may_have() {
+        let keyed = Effect::Keyed { group: Group::Cell, window: SECOND };
+        for (outcome, wanted) in
+            [(Some(Outcome::ConnectFailed), Synthetic::Refused { retry_after: 0 }), (None, Synthetic::Failed)]
+        {
+            let mut reqs = reqs(keyed);
+            let id = open(&mut reqs);
+            reqs.table.get_mut(id).unwrap().attempts[0].outcome = outcome;
+            reqs.give_back(NOW + MS, id);
+            assert_eq!(answers(&mut reqs), [wanted]);
+        }
+    }
+
     #[test]
     fn no_refusal_of_what_may_have_run() {
         for (effect, outcome, wanted) in [
