Let the newest of equals go first in a crowd, instead of the lowest id

The waiting order ends in the request id. Ids are drawn in the drill, so equals went in random order there; on the node they rise, which made it first come, first served: in a crowd each was sent just before its deadline. Ruled out: connect failures (debug lines showed every loss as a time-out at the deadline), restarts, drains. Conclusion: the order is now the module's own and the same on both sides.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -104,7 +104,9 @@
     /// First sends since the start.
     sends: f64,
     /// Requests that wait for room, in the order in which they get it.
-    waiting: BTreeSet<(u64, RequestId)>,
+    waiting: BTreeSet<((u64, u64), RequestId)>,
+    /// Requests ranked since the start.
+    turns: u64,
     retry_tokens: f64,
     ask_failures: u32,
     shortest_aim: f64,
@@ -167,6 +169,7 @@
             arrivals: 0.0,
             sends: 0.0,
             waiting: BTreeSet::new(),
+            turns: 0,
             retry_tokens: 0.0,
             ask_failures: 0,
             shortest_aim: aims().reduce(f64::min).unwrap_or(1.0),
@@ -582,8 +585,10 @@
         }
     }
 
-    /// Place in the order of waiting: most worth per work first, tenants over their quota behind.
-    fn rank(&mut self, request: &Request) -> u64 {
+    /// Place in the order of waiting: most worth per work first, tenants over their quota behind, the newest
+    /// of equals first, by a count, as ids tell no order. Guards against a crowd that is served first come,
+    /// first served: each gets its turn just too late. Harm: in a crowd the oldest are given up.
+    fn rank(&mut self, request: &Request) -> (u64, u64) {
         let class = usize::from(request.class.0);
         let settings = &self.settings.classes[class];
         let work = if self.settings.worth_by_work { 1.0 } else { self.classes[class].base.max(1e-3) };
@@ -600,7 +605,8 @@
         if request.client_retry {
             value *= settings.late_worth.clamp(0.0, 1.0);
         }
-        u64::MAX - value.max(0.0).to_bits()
+        self.turns += 1;
+        (u64::MAX - value.max(0.0).to_bits(), u64::MAX - self.turns)
     }
 
     /// Gives room to those that wait, until none is left.
@@ -619,7 +625,7 @@
             self.agenda.insert((self.wake, Task::Wake));
         }
         let mut misses = 0;
-        let mut after = (0, RequestId(0));
+        let mut after = ((0, 0), RequestId(0));
         while misses < 3 && !self.full() {
             let Some(next) = self.waiting.range(after..).next().copied() else { break };
             if !self.attempt(now, next.1, actions) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,7 +62,8 @@
     pub(crate) finished: bool,
     pub(crate) streaming: bool,
     pub(crate) hedged: bool,
-    pub(crate) rank: u64,
+    /// Place in the order of waiting: worth, then turn.
+    pub(crate) rank: (u64, u64),
 }
 
 /// Completions and latencies, over the usual one, of backends with one label.
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -402,6 +402,21 @@
     assert!(cheap.iter().any(|id| !feed.sent.contains_key(id)));
 }
 
+#[test]
+fn in_a_crowd_the_newest_of_equals_goes_first_whatever_its_id() {
+    for ids in [[901, 902, 903], [903, 901, 902]] {
+        let mut feed = Feed::new(settings(), vec![backend(1)]);
+        let (first, _) = feed.ask(0);
+        for id in ids {
+            feed.give(request(id, 0));
+        }
+        feed.wait(10 * MS);
+        feed.end(first, 0, Outcome::Ok);
+        let served: Vec<u32> = ids.into_iter().filter(|id| feed.sent.contains_key(&RequestId(*id))).collect();
+        assert_eq!(served, [ids[2]]);
+    }
+}
+
 #[test]
 fn a_marked_repeat_waits_behind_first_tries() {
     let mut feed = Feed::new(settings(), vec![backend(1)]);
