--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -109,6 +109,8 @@
         let wrong = |what: &'static str| move |e: Errno| format!("{what}: {e}");
         let listener =
             net::listener(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
+        let listens: std::net::SocketAddr =
+            rustix::net::getsockname(&listener).and_then(TryInto::try_into).map_err(wrong("getsockname"))?;
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(wrong("epoll"))?;
         epoll::add(&epoll, &listener, token(LISTENER, 0), EventFlags::IN).map_err(wrong("epoll"))?;
         epoll::add(&epoll, &signal, token(SIGNAL, 0), EventFlags::IN).map_err(wrong("epoll"))?;
@@ -137,7 +139,7 @@
         node.log.line(
             now,
             "start",
-            format_args!("name={} listen={} sockets={sockets}", config.name, config.listen),
+            format_args!("name={} listen={} sockets={sockets}", config.name, listens),
         );
         node.take_update(&config.known, true);
         node.settle();
--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,178 @@
+//! The scenario language: a `World` runs the real program between a played discovery and played backends, and
+//! a `Line` is one connection, of a client, a backend or discovery, on which a scenario sends, expects, closes
+//! and waits. Waiting is always for an event; the one time limit only ends a test that has failed.
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::net::sockopt::{Timeout, set_socket_timeout};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+pub struct Line {
+    stream: TcpStream,
+    got: Vec<u8>,
+}
+
+impl Line {
+    fn new(stream: TcpStream) -> Line {
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Line { stream, got: Vec::new() }
+    }
+
+    pub fn send(&mut self, text: &str) -> &mut Line {
+        self.stream.write_all(text.as_bytes()).unwrap();
+        self
+    }
+
+    /// Reads until `part` has come; gives all up to its end.
+    pub fn expect(&mut self, part: &str) -> String {
+        loop {
+            let at = self.got.windows(part.len()).position(|w| w == part.as_bytes());
+            if let Some(end) = at.map(|at| at + part.len()) {
+                return String::from_utf8(self.got.drain(..end).collect()).unwrap();
+            }
+            let mut bytes = [0; 4096];
+            match self.stream.read(&mut bytes) {
+                Ok(count) if count > 0 => self.got.extend_from_slice(&bytes[..count]),
+                other => panic!("{other:?} before {part:?}; got {:?}", String::from_utf8_lossy(&self.got)),
+            }
+        }
+    }
+
+    /// Waits for the other side to end the connection; gives what came before.
+    pub fn expect_end(&mut self) -> String {
+        match self.stream.read_to_end(&mut self.got) {
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => {}
+            Err(error) => panic!("{error} instead of an end"),
+        }
+        String::from_utf8(std::mem::take(&mut self.got)).unwrap()
+    }
+
+    pub fn close(self) {}
+
+    /// A backend's whole answer.
+    pub fn serve(&mut self, status: &str, body: &str) {
+        self.send(&format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+}
+
+/// A listener of the test's own.
+pub struct Party(TcpListener);
+
+impl Party {
+    pub fn new() -> Party {
+        Party(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+
+    /// Waits for the node's next connection.
+    pub fn wait(&self) -> Line {
+        set_socket_timeout(&self.0, Timeout::Recv, Some(LIMIT)).unwrap();
+        Line::new(self.0.accept().expect("a connection of the node's").0)
+    }
+}
+
+pub fn entry(uid: &str, address: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m","pod_group":1,"state":"{state}","boot_ms":0}}"#
+    )
+}
+
+pub struct World {
+    pub discovery: Party,
+    pub backend: Party,
+    node: Child,
+    log: BufReader<ChildStderr>,
+    address: SocketAddr,
+}
+
+impl World {
+    /// Starts the program with one backend in its list.
+    pub fn start() -> World {
+        World::with(|config| config)
+    }
+
+    pub fn with(change: impl Fn(String) -> String) -> World {
+        let (discovery, backend) = (Party::new(), Party::new());
+        let config = format!(
+            r#"{{"name":"t1","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f","limits":{{"sockets":128}},
+            "known":{{"rev":7,"all":true,"targets":[{}]}},
+            "settings":{{"azs":["a"],"kinds":["m"],"membershipMode":"subscribe","tickNs":5000000,
+              "grades":[{{"name":"report","effect":"by_key","keyScope":"cell","windowNs":3000000000,
+                "goalTimeNs":300000000,"giveUpNs":2000000000,"importance":1.0,"lateValue":0.3}}],
+              "tenants":[{{"name":"acme","quotaPerS":9.0}}],
+              "limits":{{"cancel":true,"maxAttempts":5,"maxRetryAfterNs":2000000000}},
+              "rules":{{"coldFrom":0.3,"coldNs":8800000000,"drainGraceNs":1500000000,"fallNs":2000000000,
+                "tipMultiple":3.0,"answerSlackNs":20000000}}}}}}"#,
+            discovery.address(),
+            entry("s-1", backend.address(), "Ready")
+        );
+        let mut node = run(&change(config));
+        let mut log = BufReader::new(node.stderr.take().unwrap());
+        let line = next_line(&mut log);
+        let address = line.strip_prefix("kitefork: start name=t1 listen=").and_then(|l| l.split(' ').next());
+        let address = address.and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("no start in {line:?}"));
+        World { discovery, backend, node, log, address }
+    }
+
+    pub fn client(&self) -> Line {
+        Line::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    /// Waits for a line of the log that holds `part`.
+    pub fn expect_log(&mut self, part: &str) {
+        while !next_line(&mut self.log).contains(part) {}
+    }
+
+    pub fn terminate(&self) {
+        let pid = rustix::process::Pid::from_child(&self.node);
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    }
+
+    pub fn wait_exit(mut self) -> ExitStatus {
+        self.node.wait().unwrap()
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.node.kill();
+        let _ = self.node.wait();
+    }
+}
+
+fn next_line(log: &mut impl BufRead) -> String {
+    let mut line = String::new();
+    assert!(log.read_line(&mut line).unwrap() > 0, "the log has ended");
+    line
+}
+
+/// Runs the program with this configuration.
+pub fn run(config: &str) -> Child {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let unique = format!("{}-{:?}.json", std::process::id(), std::thread::current().id());
+    let path = folder.join(unique.replace(['(', ')'], ""));
+    std::fs::write(&path, config).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_kitefork"))
+        .env_clear()
+        .env("BALANCER_CONFIG", path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+/// A request as clients put it, with `patience` in milliseconds.
+pub fn report(id: &str, patience: u32) -> String {
+    format!(
+        "POST /api?n={id} HTTP/1.1\r\nHost: api.internal\r\nX-Txn: {id}\r\nX-Lane: report\r\nX-Org: acme\r\n\
+         X-Remaining-Ms: {patience}\r\nIdempotency-Key: k{id}\r\nContent-Length: 4\r\n\r\nbody"
+    )
+}
--- /dev/null
+++ b/node/tests/sockets.rs
@@ -0,0 +1,191 @@
+//! Scenarios over sockets, against the program as it is shipped.
+
+mod common;
+
+use common::{Party, World, entry, report, run};
+
+#[test]
+fn a_req_passes_unchanged_and_its_answer_too_on_one_connection_each() {
+    let world = World::start();
+    let mut client = world.client();
+    client.send(&report("a1", 1500));
+    let mut backend = world.backend.wait();
+    let head = backend.expect("\r\n\r\nbody");
+    assert!(head.starts_with("POST /api?n=a1 HTTP/1.1\r\n"), "{head}");
+    for part in ["x-txn: a1\r\n", "idempotency-key: ka1\r\n", "x-remaining-ms: 1"] {
+        assert!(head.contains(part), "{head}");
+    }
+    backend.serve("200 OK", "played");
+    let answer = client.expect("played");
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n") && !answer.contains("close"), "{answer}");
+    // In pieces, and over the same two connections.
+    let second = report("a2", 1500);
+    for piece in [&second[..9], &second[9..150], &second[150..]] {
+        client.send(piece);
+    }
+    backend.expect("\r\n\r\nbody");
+    backend.serve("200 OK", "again");
+    client.expect("again");
+}
+
+#[test]
+fn two_requests_in_one_write_are_answered_in_turn() {
+    let world = World::start();
+    let mut client = world.client();
+    client.send(&(report("b1", 1500) + &report("b2", 1500)));
+    let mut backend = world.backend.wait();
+    for (id, body) in [("b1", "first"), ("b2", "second")] {
+        assert!(backend.expect("\r\n\r\nbody").contains(id));
+        backend.serve("200 OK", body);
+        client.expect(body);
+    }
+}
+
+#[test]
+fn what_can_not_be_a_req_is_answered_by_its_status_and_reaches_no_backend() {
+    let world = World::start();
+    for (request, status, ends) in [
+        (report("c", 99).replace("/api", "/other"), 404, false),
+        (report("c", 99).replace("POST", "DELETE"), 405, false),
+        (report("c", 99).replace("X-Org: acme", "X-Org: nobody"), 400, false),
+        (report("c", 99).replace("X-Txn: c\r\n", ""), 400, false),
+        (report("c", 99).replace(": 4", ": 4\r\nTransfer-Encoding: chunked"), 400, true),
+        (report("c", 99).replace(": 4", ": 4\r\nContent-Length: 5"), 400, true),
+        (report("c", 99).replace(": 4", ": 70000"), 413, true),
+        (report("c", 99).replace("acme", &"x".repeat(17_000)), 431, true),
+        ("nonsense\r\n\r\n".to_string(), 400, true),
+    ] {
+        let mut client = world.client();
+        client.send(&request);
+        let answer = client.expect("\r\n\r\n");
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer} to {request:.40}");
+        assert_eq!(answer.contains("connection: close"), ends, "{answer}");
+        if ends {
+            client.expect_end();
+        }
+    }
+    let mut client = world.client();
+    client.send(&report("good", 1500));
+    assert!(world.backend.wait().expect("\r\n\r\n").contains("x-txn: good"));
+}
+
+#[test]
+fn a_client_that_waits_for_leave_gets_it_and_health_is_told() {
+    let world = World::start();
+    let mut client = world.client();
+    client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("200 OK");
+    let request = report("d", 1500).replace("Host", "Expect: 100-continue\r\nHost");
+    let (head, body) = request.split_at(request.len() - 4);
+    client.expect("ok\n");
+    client.send(head).expect("HTTP/1.1 100 Continue\r\n\r\n");
+    client.send(body);
+    world.backend.wait().expect("\r\n\r\nbody");
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_fetch_along() {
+    let world = World::start();
+    let mut client = world.client();
+    client.send(&report("e", 1500));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    client.close();
+    assert_eq!(backend.expect_end(), "");
+}
+
+#[test]
+fn a_backend_that_is_silent_costs_a_504_in_time_and_its_connection() {
+    let world = World::start();
+    let mut client = world.client();
+    let since = std::time::Instant::now();
+    client.send(&report("f", 300));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    assert!(client.expect("\r\n\r\n").starts_with("HTTP/1.1 504 "));
+    assert!(since.elapsed().as_millis() >= 290, "never early");
+    backend.expect_end();
+}
+
+#[test]
+fn a_truncated_answer_never_looks_whole() {
+    let world = World::start();
+    let mut client = world.client();
+    client.send(&report("g", 400));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    backend.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+    backend.close();
+    let answer = client.expect("\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
+    assert!(!answer.contains("503"), "it may have run: no refusal");
+}
+
+#[test]
+fn without_a_backend_a_req_is_refused_with_advice() {
+    let world = World::with(|config| config.replace(r#""state":"Ready""#, r#""state":"Terminating""#));
+    let mut client = world.client();
+    client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("503 Service Unavailable");
+    client.send(&report("h", 100));
+    let answer = client.expect("harmless\n");
+    assert!(answer.contains("503 ") && answer.contains("retry-after: 2\r\n"), "{answer}");
+}
+
+#[test]
+fn the_watch_is_resumed_after_a_bad_line_and_moves_reqs_to_new_backends() {
+    let mut world = World::start();
+    let chunk = |line: &str| format!("{:x}\r\n{line}\r\n", line.len());
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let mut watch = world.discovery.wait();
+    assert!(watch.expect("\r\n\r\n").starts_with("GET /catalog/members?watch=1&after=7 HTTP/1.1\r\n"));
+    let other = Party::new();
+    let change =
+        entry("s-1", world.backend.address(), "Terminating") + "," + &entry("s-2", other.address(), "Ready");
+    let line = format!("{{\"rev\":9,\"all\":false,\"targets\":[{change}]}}\n");
+    // Cut in the middle: a line is read when its end has come.
+    let (one, two) = line.split_at(60);
+    watch.send(head).send(&chunk("\n")).send(&chunk(one)).send(&chunk(two)).send(&chunk("{\"rev\":\n"));
+    world.expect_log("discovery-failed not JSON");
+    watch.expect_end();
+    let mut again = world.discovery.wait();
+    assert!(again.expect("\r\n\r\n").contains("after=9 "));
+    let mut client = world.client();
+    client.send(&report("i", 1500));
+    let mut backend = other.wait();
+    backend.expect("body");
+    backend.serve("200 OK", "elsewhere");
+    client.expect("elsewhere");
+}
+
+#[test]
+fn sigterm_is_followed_to_the_end_of_every_req() {
+    let mut world = World::start();
+    let (mut busy, mut idle) = (world.client(), world.client());
+    busy.send(&report("j", 1800));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    idle.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+    world.terminate();
+    world.expect_log("sigterm");
+    // New clients and old ones are served for a while, and told to go.
+    let mut late = world.client();
+    late.send(&report("k", 1800));
+    assert_eq!(idle.expect_end(), "");
+    for (client, body) in [(&mut busy, "done"), (&mut late, "late")] {
+        backend.serve("200 OK", body);
+        assert!(client.expect(body).contains("connection: close\r\n"));
+        client.expect_end();
+        if body == "done" {
+            backend.expect("body");
+        }
+    }
+    assert_eq!(world.wait_exit().code(), Some(0));
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_and_no_start() {
+    let mut node = run(r#"{"seed":"1"}"#);
+    let mut line = String::new();
+    std::io::Read::read_to_string(&mut node.stderr.take().unwrap(), &mut line).unwrap();
+    assert_eq!(line, "kitefork: fault configuration: missing field `settings`\n");
+    assert_eq!(node.wait().unwrap().code(), Some(2));
+}
