--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -58,13 +58,15 @@
 pub mod tests {
     use super::*;
 
-    pub const CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
-        "limits":{"sockets":256},"known":{"rev":41,"all":true,"targets":[
-          {"uid":"s-1","endpoint":"127.0.0.1:2","az":"b","model":"m2","pod_group":3,"state":"Ready","boot_ms":0}]},
+    pub const CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
+        "seed":"8c1f30d27a5be964","limits":{"sockets":256},"known":{"rev":41,"all":true,"targets":[
+          {"uid":"s-1","endpoint":"127.0.0.1:2","az":"b","model":"m2","pod_group":3,"state":"Ready",
+           "boot_ms":0}]},
         "settings":{"azs":["a","b"],"kinds":["m1","m2"],"membershipMode":"subscribe","tickNs":5000000,
-          "grades":[{"effect":"by_key","windowNs":3000000000,"goalTimeNs":1200000000,"giveUpNs":5000000000,
-            "importance":1.0,"name":"report"},
-            {"effect":"repeatable","goalTimeNs":1200000000,"giveUpNs":5000000000,"importance":1.0,"name":"look"}],
+          "grades":[{"effect":"by_key","windowNs":3000000000,"goalTimeNs":1200000000,
+            "giveUpNs":5000000000,"importance":1.0,"name":"report"},
+            {"effect":"repeatable","goalTimeNs":1200000000,"giveUpNs":5000000000,
+             "importance":1.0,"name":"look"}],
           "tenants":[{"name":"acme","quotaPerS":9.0}],
           "limits":{"maxAttempts":5},
           "rules":{"coldFrom":0.3,"coldNs":1,"drainGraceNs":1,"fallNs":1,"tipMultiple":3.0}}}"#;
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -263,7 +263,7 @@
         let entries: Vec<String> = entries
             .iter()
             .map(|(uid, port, state)| {
-                format!(r#"{{"uid":"{uid}","endpoint":"127.0.0.1:{port}","az":"z","model":"m","state":"{state}"}}"#)
+                format!(r#"{{"uid":"{uid}","endpoint":"127.0.0.1:{port}","state":"{state}"}}"#)
             })
             .collect();
         let text = format!(r#"{{"rev":1,"all":{all},"targets":[{}]}}"#, entries.join(","));
--- a/node/src/http1.rs
+++ b/node/src/http1.rs
@@ -1,5 +1,5 @@
-//! HTTP/1.1 as bytes: a parser that is fed what has come and a writer that appends to a buffer. No sockets, no
-//! clock. Strict where a lenient reader would let two parties see two different messages.
+//! HTTP/1.1 as bytes: a parser that is fed what has come, and a writer. No sockets, no clock. Strict where a
+//! lenient reader would let two parties see two different messages.
 
 /// Longest head, and longest body that a message may have.
 pub const MOST_HEAD: usize = 16 * 1024;
@@ -388,7 +388,8 @@
                 .unwrap();
         assert_eq!(head.start, Start::Request { method: "POST".into(), target: "/api?x=1".into() });
         assert_eq!((head.one("x-txn"), head.keep_alive, body.as_str()), (Ok(Some("b")), true, "abc"));
-        let chunked = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n\
+        let chunked = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\
+             Connection: close\r\n\r\n\
              3;e=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n";
         let (head, body) = read(Parser::responses, chunked).unwrap().unwrap();
         assert_eq!((head.keep_alive, body.as_str()), (false, "abcde"));
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -1,5 +1,5 @@
-//! The loop: waits for sockets and deadlines, and carries out what is decided. One clock reading a round; what
-//! sockets bring goes first, so that an answer which is there wins over its time-out.
+//! The loop: waits for sockets and deadlines, and carries out what is decided. One clock reading a round;
+//! what sockets bring goes first, so that an answer which is there wins over its time-out.
 
 use std::collections::VecDeque;
 use std::os::fd::OwnedFd;
@@ -25,8 +25,8 @@
 
 /// New connections are still taken for this long after SIGTERM: the front does not know yet.
 const ACCEPT_ON: Nanos = 600 * MS;
-/// After SIGTERM all is over within the longest deadline, counted as 3 s where it is longer, and this: SIGKILL
-/// may come 0.2 s later.
+/// After SIGTERM all is over within the longest deadline, counted as 3 s where it is longer, and this:
+/// SIGKILL may come 0.2 s later.
 const DRAIN_MORE: Nanos = 500 * MS;
 const LONGEST_DRAIN: Nanos = 3 * SECOND;
 /// A client session without a req ends after this time ...
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -55,8 +55,8 @@
             second_copies: limits.or("parallelTries", false, Place::flag)?,
             cancel: limits.or("cancel", false, Place::flag)?,
             probes: limits.or("probes", false, Place::flag)?,
-            // `retryAfter` only says whether the drill's clients are handed the advice. A refusal over HTTP may
-            // always carry it, and without it a refused client is back at once, into the same crowd.
+            // `retryAfter` only says whether the drill's clients are handed the advice. A refusal over HTTP
+            // may always carry it, and without it a refused client is back at once, into the same crowd.
             max_retry_after: limits.or("maxRetryAfterNs", 0, Place::whole)?,
         },
         rules: Rules {
