Time limits of sessions count from their state; leave no spin and no lost end behind

Seen on reading the loop again: a client that leaves behind a full inbox would be told by epoll without pause (settled in session_ready); a byte now and then kept a session for ever, as its limit moved with each read; an answer to HEAD on /_health carried a body; a call to discovery waited 4.2 s for a connection that is cut.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -12,6 +12,12 @@
 use crate::ring::{Read, Ring};
 use crate::wheel::Deadline;
 
+/// A session without a req ends after this time ...
+const IDLE: Nanos = 75 * SECOND;
+/// ... one that has sent a part of a message, or does not read its answer, after this ...
+const STALL: Nanos = 10 * SECOND;
+/// ... and one whose last answer is written after this.
+const LINGER: Nanos = SECOND;
 /// Paths that clients may ask for.
 const API: &str = "/api";
 const HEALTH: &str = "/_health";
@@ -40,7 +46,9 @@
     /// When the first byte of the current message came.
     began: Option<Nanos>,
     leave_given: bool,
-    pub idle_since: Nanos,
+    /// When it came to its present state: every time limit on a client counts from here, so that a client
+    /// which sends or reads a byte now and then does not stay for ever.
+    since: Nanos,
     pub deadline: Deadline,
     pub interest: EventFlags,
 }
@@ -69,35 +77,66 @@
             keep_alive: true,
             began: None,
             leave_given: false,
-            idle_since: now,
+            since: now,
             deadline: Deadline::new(),
             interest,
         }
     }
 
+    pub fn since(&self) -> Nanos {
+        self.since
+    }
+
+    /// When it has taken too long over its present state.
+    pub fn time_limit(&self) -> Nanos {
+        let span = match self.phase {
+            Phase::Lingering => LINGER,
+            Phase::Open if self.req.is_some() => return Deadline::NEVER,
+            Phase::Open if self.is_idle() => IDLE,
+            Phase::Open | Phase::Closing => STALL,
+        };
+        self.since.saturating_add(span)
+    }
+
+    /// Writes what it can; `false`: the connection has broken.
+    pub fn flush(&mut self, now: Nanos) -> bool {
+        if self.outbox.write_to(&self.socket).is_err() {
+            return false;
+        }
+        if self.phase == Phase::Closing && self.outbox.is_empty() {
+            let _ = rustix::net::shutdown(&self.socket, rustix::net::Shutdown::Write);
+            (self.phase, self.since) = (Phase::Lingering, now);
+        }
+        true
+    }
+
     /// It stands between two messages.
     pub fn is_idle(&self) -> bool {
         self.phase == Phase::Open && self.req.is_none() && self.outbox.is_empty() && self.began.is_none()
     }
 
-    /// The inbox has no room until the current req is over.
+    /// The inbox has no room until the current req is over and its answer written.
     pub fn is_stuffed(&self) -> bool {
-        self.req.is_some() && self.inbox.len() > MOST_HEAD
+        self.inbox.len() > MOST_HEAD
     }
 
-    /// Reads what has come, up to a whole message. While a req is under way, what comes waits in the ring.
+    /// Reads what has come, up to a whole message. While a req is under way or an answer is not written, what
+    /// comes waits in the ring.
     pub fn read(&mut self, now: Nanos) -> Intake {
         loop {
             if self.phase == Phase::Open
                 && self.req.is_none()
+                && self.outbox.is_empty()
                 && let Some(intake) = self.parse(now)
             {
                 return intake;
             }
             match self.inbox.read_from(&self.socket) {
+                // One piece a round: a client that never stops must not hold the loop.
                 Read::Some if self.phase != Phase::Open => {
                     let count = self.inbox.len();
                     self.inbox.consume(count);
+                    return Intake::Wait;
                 }
                 Read::Some => {}
                 Read::Dry | Read::Full => return Intake::Wait,
@@ -110,7 +149,9 @@
         if self.inbox.is_empty() {
             return None;
         }
-        self.began.get_or_insert(now);
+        if self.began.is_none() {
+            (self.began, self.since) = (Some(now), now);
+        }
         let used = match self.parser.feed(self.inbox.bytes()) {
             Ok(used) => used,
             Err(bad) => return Some(Intake::Bad(bad)),
@@ -133,8 +174,8 @@
     }
 
     /// Puts an answer in the outbox; `end` ends the connection after it.
-    pub fn answer(&mut self, status: u16, headers: &[(&str, &str)], body: &[u8], end: bool) {
-        self.req = None;
+    pub fn answer(&mut self, now: Nanos, status: u16, headers: &[(&str, &str)], body: &[u8], end: bool) {
+        (self.req, self.since) = (None, now);
         let end = end || !self.keep_alive;
         let last = end.then_some(("connection", "close"));
         let first = format!("HTTP/1.1 {status} {}", phrase(status));
@@ -195,7 +236,12 @@
         let Start::Request { method, target } = &self.head.start else { return Vec::new() };
         let left = (left / MS).to_string();
         let headers = self.head.end_to_end().filter(|(name, _)| *name != "x-remaining-ms");
-        let headers = headers.chain([("x-remaining-ms", left.as_str()), ("via", "1.1 kitefork")]);
+        // A client of HTTP/1.0 need not name a host; backends speak 1.1.
+        let host = self.head.one("host").is_ok_and(|host| host.is_none()).then_some(("host", "kitefork"));
+        let headers = host
+            .into_iter()
+            .chain(headers)
+            .chain([("x-remaining-ms", left.as_str()), ("via", "1.1 kitefork")]);
         let body = (method != "GET" || !self.body.is_empty()).then_some(self.body.as_slice());
         http1::write(&format!("{method} {target} HTTP/1.1"), headers, body)
     }
@@ -223,7 +269,7 @@
     let Start::Request { method, target } = &head.start else { return Err((400, "not a request")) };
     let path = target.split('?').next().unwrap_or_default();
     if path == HEALTH {
-        return if matches!(method.as_str(), "GET" | "HEAD") { Ok(None) } else { Err((405, "GET")) };
+        return if method == "GET" { Ok(None) } else { Err((405, "GET")) };
     }
     if path != API {
         return Err((404, "no such path"));
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -21,7 +21,7 @@
 use crate::net;
 use crate::req::{Order, Reqs, Synthetic};
 use crate::slots::Slots;
-use crate::wheel::{Deadline, Wheel};
+use crate::wheel::Wheel;
 
 /// New connections are still taken for this long after SIGTERM: the front does not know yet.
 const ACCEPT_ON: Nanos = 600 * MS;
@@ -29,12 +29,6 @@
 /// SIGKILL may come 0.2 s later.
 const DRAIN_MORE: Nanos = 500 * MS;
 const LONGEST_DRAIN: Nanos = 3 * SECOND;
-/// A client session without a req ends after this time ...
-const SESSION_IDLE: Nanos = 75 * SECOND;
-/// ... one that has sent a part of a message, or does not read its answer, after this ...
-const SESSION_STALL: Nanos = 10 * SECOND;
-/// ... and one whose last answer is written after this.
-const LINGER: Nanos = SECOND;
 /// A probe that has no answer by then has failed.
 const PROBE_PATIENCE: Nanos = 500 * MS;
 /// When descriptors run out, accepting goes on after this time.
@@ -181,7 +175,7 @@
         match kind {
             LISTENER => self.accept(),
             SIGNAL => self.begin_drain(),
-            SESSION => self.read_session(number),
+            SESSION => self.session_ready(number, flags),
             FETCH => self.go_on(number, true),
             CALL => self.read_call(number, flags),
             _ => {}
@@ -289,20 +283,13 @@
             return self.log.line(self.now, "epoll-failed", error);
         }
         self.sessions.insert(Session::new(socket, self.now, READ));
-        self.time_session(number, SESSION_IDLE);
         self.read_session(number);
     }
 
-    fn time_session(&mut self, number: u32, span: Nanos) {
-        if let Some(session) = self.sessions.get_mut(number) {
-            session.deadline.set(self.now.saturating_add(span), &mut self.wheel, Due::Session(number));
-        }
-    }
-
     /// Closes the session that has been idle for longest; tells whether there was one.
     fn close_oldest_session(&mut self) -> bool {
         let idle = self.sessions.iter().filter(|(_, session)| session.is_idle());
-        let oldest = idle.min_by_key(|(_, session)| session.idle_since).map(|(number, _)| number);
+        let oldest = idle.min_by_key(|(_, session)| session.since()).map(|(number, _)| number);
         oldest.is_some_and(|number| self.close_session(number))
     }
 
@@ -321,14 +308,29 @@
             return;
         }
         if session.phase == client::Phase::Open && session.outbox.is_empty() && !session.is_idle() {
-            return self.reply(number, 408, &[], b"the request did not come whole\n", true);
+            self.reply(number, 408, &[], b"the request did not come whole\n", true);
+            return self.answered.push_back(number);
         }
         self.close_session(number);
     }
 
+    fn session_ready(&mut self, number: u32, flags: EventFlags) {
+        let left = flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR);
+        // With a full inbox the end can't be read, and would be told again without a pause.
+        if left && self.sessions.get(number).is_some_and(Session::is_stuffed) {
+            self.close_session(number);
+        } else {
+            self.read_session(number);
+        }
+    }
+
     fn read_session(&mut self, number: u32) {
         // Each turn answers one message; the next one may have come behind it.
         while let Some(session) = self.sessions.get_mut(number) {
+            if !session.flush(self.now) {
+                self.close_session(number);
+                return;
+            }
             match session.read(self.now) {
                 Intake::Wait => break,
                 Intake::Gone => {
@@ -373,8 +375,6 @@
         };
         if let Some(session) = self.sessions.get_mut(number) {
             session.req = Some(req);
-            // From here the req's own deadline counts.
-            session.deadline.set(Deadline::NEVER, &mut self.wheel, Due::Session(number));
         }
         self.wheel.hang(last_resort, Due::Req(req));
     }
@@ -383,8 +383,7 @@
     fn reply(&mut self, number: u32, status: u16, headers: &[(&str, &str)], body: &[u8], end: bool) {
         let end = end || self.draining;
         if let Some(session) = self.sessions.get_mut(number) {
-            session.answer(status, headers, body, end);
-            session.idle_since = self.now;
+            session.answer(self.now, status, headers, body, end);
         }
     }
 
@@ -403,31 +402,21 @@
     /// Writes what there is to write, and looks for the right events and deadline.
     fn settle_session(&mut self, number: u32) {
         let Some(session) = self.sessions.get_mut(number) else { return };
-        if session.outbox.write_to(&session.socket).is_err() {
+        if !session.flush(self.now) {
             self.close_session(number);
             return;
         }
-        if session.phase == client::Phase::Closing && session.outbox.is_empty() {
-            let _ = rustix::net::shutdown(&session.socket, rustix::net::Shutdown::Write);
-            session.phase = client::Phase::Lingering;
-        }
         let wanted = match (session.outbox.is_empty(), session.is_stuffed()) {
             (true, false) => READ,
             (true, true) => EventFlags::RDHUP,
-            (false, _) => BOTH,
+            (false, false) => BOTH,
+            (false, true) => EventFlags::OUT | EventFlags::RDHUP,
         };
         if wanted != session.interest {
             session.interest = wanted;
             let _ = epoll::modify(&self.epoll, &session.socket, token(SESSION, number), wanted);
         }
-        if session.req.is_none() {
-            let span = match session.phase {
-                client::Phase::Lingering => LINGER,
-                client::Phase::Open if session.is_idle() => SESSION_IDLE,
-                _ => SESSION_STALL,
-            };
-            self.time_session(number, span);
-        }
+        session.deadline.set(session.time_limit(), &mut self.wheel, Due::Session(number));
     }
 
     // ---- Fetches. ----
@@ -448,7 +437,7 @@
         let fits = fetch.outbox.push(&bytes);
         (fetch.job, fetch.until, fetch.write_by) = (Some(job), until, write_by);
         let by = match fetch.phase {
-            fetch::Phase::Connecting => until.min(write_by).min(self.now + connect_timeout),
+            fetch::Phase::Connecting => until.min(write_by).min(self.now.saturating_add(connect_timeout)),
             _ => until.min(write_by),
         };
         fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
@@ -519,7 +508,7 @@
         if reusable && self.fleet.endpoint(backend).is_some() {
             fetch.phase = fetch::Phase::Idle;
             // Clearly before the backend's machine would close it: what crosses that close is a reset.
-            let by = self.now + self.deployment.idle_limit / 4 * 3;
+            let by = self.now.saturating_add(self.deployment.idle_limit / 4 * 3);
             fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
             self.pool.put(backend, number);
         } else {
@@ -595,7 +584,7 @@
             let number = self.calls.vacant().ok_or(Errno::MFILE)?;
             epoll::add(&self.epoll, &socket, token(CALL, number), BOTH)?;
             let mut call = Call::new(socket, watch, self.rev, self.discovery, self.now);
-            call.deadline.set(self.now + discovery::SILENCE, &mut self.wheel, Due::Call(number));
+            call.deadline.set(self.now + discovery::CONNECT, &mut self.wheel, Due::Call(number));
             self.calls.insert(call);
             Ok(())
         });
@@ -611,11 +600,14 @@
             // A connection that did not come up shows when it is read.
             let _ = call.outbox.write_to(&call.socket);
             if call.outbox.is_empty() {
+                call.heard = self.now;
                 let _ = epoll::modify(&self.epoll, &call.socket, token(CALL, number), READ);
             }
         }
         let news = call.read(self.now);
-        call.deadline.set(call.heard + discovery::SILENCE, &mut self.wheel, Due::Call(number));
+        if call.outbox.is_empty() {
+            call.deadline.set(call.heard + discovery::SILENCE, &mut self.wheel, Due::Call(number));
+        }
         self.take_news(number, news);
     }
 
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -93,6 +93,69 @@
     assert_eq!(backend.expect_end(), "");
 }
 
+#[test]
+fn a_client_that_leaves_behind_a_full_inbox_takes_its_fetch_along_too() {
+    // Its end can't be read while the inbox is full; the loop must neither miss it nor spin on it.
+    let world = World::start();
+    let mut client = world.client();
+    client.send(&report("ee", 60_000));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    client.send(&"x".repeat(17 * 1024));
+    client.close();
+    assert_eq!(backend.expect_end(), "");
+}
+
+#[test]
+fn a_connection_that_the_backend_has_closed_is_not_used_again() {
+    let world = World::start();
+    let mut client = world.client();
+    for body in ["one", "two"] {
+        client.send(&report(body, 1500));
+        let mut backend = world.backend.wait();
+        backend.expect("body");
+        backend.serve("200 OK", body);
+        backend.close();
+        client.expect(body);
+    }
+}
+
+#[test]
+fn what_never_reached_a_dead_backend_goes_elsewhere() {
+    let dead = Party::new().address();
+    let world = World::with(|config| {
+        config.replace(r#""targets":["#, &format!(r#""targets":[{},"#, entry("s-0", dead, "Ready")))
+    });
+    let mut client = world.client();
+    client.send(&report("m", 1500));
+    let mut backend = world.backend.wait();
+    for id in ["m", "n", "o", "p"] {
+        assert!(backend.expect("body").contains(&format!("x-txn: {id}\r\n")));
+        backend.serve("200 OK", id);
+        client.expect(&format!("\r\n\r\n{id}"));
+        client.send(&report(&((id.as_bytes()[0] + 1) as char).to_string(), 1500));
+    }
+}
+
+#[test]
+fn when_sessions_run_out_the_one_idle_for_longest_closes() {
+    let world = World::start();
+    // 5/8 of the 128 descriptors.
+    let mut clients: Vec<_> = (0..81).map(|_| world.client()).collect();
+    let mut newest = clients.pop().unwrap();
+    newest.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+    assert_eq!(clients[0].expect_end(), "");
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew() {
+    let mut world = World::start();
+    let mut watch = world.discovery.wait();
+    watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    world.expect_log("discovery-failed silent");
+    world.discovery.wait().expect("after=7 ");
+}
+
 #[test]
 fn a_backend_that_is_silent_costs_a_504_in_time_and_its_connection() {
     let world = World::start();
