--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -17,8 +17,8 @@
 /// longer is cut off, and TCP would not tell. Short enough that what was missed is asked for again before
 /// the 6 s are over after which it counts as told.
 pub const SILENCE: Nanos = 4_200 * MS;
-/// A connection to discovery that is not up by then is cut off too; asking anew finds the way back sooner than
-/// TCP's own repeats.
+/// A connection to discovery that is not up by then is cut off too; asking anew finds the way back sooner
+/// than TCP's own repeats.
 pub const CONNECT: Nanos = 1_000 * MS;
 /// Longest line or list that is read.
 const MOST_LIST: usize = 4 << 20;
