Give each session one message a round, and bound connections by memory too

Seen on reading: a client that sends messages without end could hold the loop, as each session was read until it was dry; and with a high limits.sockets the buffers could outgrow limits.memory_mb. Conclusion: a pipelined message now waits up to a tick; clients of this service never pipeline.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -112,7 +112,14 @@
 
     /// It stands between two messages.
     pub fn is_idle(&self) -> bool {
-        self.phase == Phase::Open && self.req.is_none() && self.outbox.is_empty() && self.began.is_none()
+        let still = self.inbox.is_empty() && self.outbox.is_empty() && self.began.is_none();
+        self.phase == Phase::Open && self.req.is_none() && still
+    }
+
+    /// Its last message is answered, and the next has come behind it.
+    pub fn has_next(&self) -> bool {
+        let free = self.phase == Phase::Open && self.req.is_none() && self.outbox.is_empty();
+        free && self.parser.is_fresh() && !self.inbox.is_empty()
     }
 
     /// The inbox has no room until the current req is over and its answer written.
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -15,6 +15,7 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    pub memory_mb: usize,
     /// The list as this node last had it; may be old.
     pub known: Update,
     pub deployment: Deployment,
@@ -38,6 +39,10 @@
         let value = told(variable, key)?;
         value.parse().map_err(|_| format!("field `{key}`: `{value}` is not an address and a port"))
     };
+    let limit = |key, default| match root.find("limits") {
+        Some(limits) => limits.or(key, default, Place::narrow),
+        None => Ok(default),
+    };
     let seed = root.get("seed")?;
     let deployment = kitefork_settings::read(&root.get("settings")?)?;
     if deployment.settings.classes.iter().any(|class| class.streamed) {
@@ -48,7 +53,8 @@
         listen: address("BALANCER_LISTEN", "listen")?,
         discovery: address("BALANCER_DISCOVERY", "discovery")?,
         seed: u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.bad("must be hexadecimal"))?,
-        sockets: root.find("limits").map_or(Ok(1024), |limits| limits.or("sockets", 1024, Place::narrow))?,
+        sockets: limit("sockets", 1024)?,
+        memory_mb: limit("memory_mb", 192)?,
         known: root.find("known").map_or(Ok(Update::default()), |known| Update::read(&known))?,
         deployment,
     })
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -38,6 +38,7 @@
 #[derive(Clone, Copy)]
 enum Due {
     Session(u32),
+    NextMessage(u32),
     Req(u32),
     Fetch(u32),
     Call(u32),
@@ -94,9 +95,10 @@
         let settings = deployment.settings.clone();
         let tick = settings.tick.clamp(MS, 10 * MS);
         let own = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
-        let sockets = own.map_or(config.sockets, |own| config.sockets.min(own as usize)).max(64);
-        // Five parts for clients, two for backends, one for the rest. Each session holds at most a body, an
-        // answer and two heads, so 640 of them stay under 110 MB, and 256 fetches under 45 MB.
+        let sockets = own.map_or(config.sockets, |own| config.sockets.min(own as usize));
+        // Five parts for clients, two for backends, one for the rest. At worst a connection holds a body, a
+        // message on its way out and a head, under 180 KiB: seven eighths of six a megabyte fit in.
+        let sockets = sockets.min(config.memory_mb.saturating_mul(6)).max(64);
         let (most_sessions, most_fetches) = (sockets * 5 / 8, sockets / 4);
         let most_reqs = most_sessions.min(deployment.most_held).max(1);
         let reqs = Reqs::new(settings, config.seed, most_reqs, now).map_err(|e| e.to_string())?;
@@ -185,6 +187,7 @@
     fn on_due(&mut self, due: Due) {
         match due {
             Due::Session(number) => self.session_due(number),
+            Due::NextMessage(number) => self.read_session(number),
             Due::Req(req) => {
                 if self.reqs.expire(self.now, req) {
                     self.log.line(self.now, "last-resort", format_args!("req={req}"));
@@ -202,13 +205,12 @@
         }
     }
 
-    /// Does all that follows from an event. In a loop, not by recursion: a client that sends many requests at
-    /// once, each refused at once, would exhaust the stack.
+    /// Does all that follows from an event: orders first, then answers go out.
     fn settle(&mut self) {
         loop {
             self.carry_out();
             let Some(number) = self.answered.pop_front() else { return };
-            self.read_session(number);
+            self.settle_session(number);
         }
     }
 
@@ -324,35 +326,35 @@
         }
     }
 
+    /// Reads a session and takes one message. The next one, if it has come behind it, gets its turn a tick
+    /// later: a client that sends without end must not hold the loop.
     fn read_session(&mut self, number: u32) {
-        // Each turn answers one message; the next one may have come behind it.
-        while let Some(session) = self.sessions.get_mut(number) {
-            if !session.flush(self.now) {
+        let Some(session) = self.sessions.get_mut(number) else { return };
+        if !session.flush(self.now) {
+            self.close_session(number);
+            return;
+        }
+        match session.read(self.now) {
+            Intake::Wait => {}
+            Intake::Gone => {
                 self.close_session(number);
                 return;
             }
-            match session.read(self.now) {
-                Intake::Wait => break,
-                Intake::Gone => {
-                    self.close_session(number);
-                    return;
-                }
-                Intake::Bad(bad) => {
-                    let status = client::status_of(bad);
-                    self.log.line(self.now, "bad-request", format_args!("status={status} why={bad:?}"));
-                    self.reply(number, status, &[], b"the request can't be read\n", true);
-                }
-                Intake::Message(head, body, began) => {
-                    let waited = self.now.saturating_sub(began);
-                    match client::route(head, body, &self.deployment, waited) {
-                        Route::Health => self.reply_health(number),
-                        Route::Wrong(status, why) => {
-                            self.log.line(self.now, "bad-request", format_args!("status={status} why={why}"));
-                            let allow: &[(&str, &str)] = if status == 405 { &[("allow", why)] } else { &[] };
-                            self.reply(number, status, allow, format!("{why}\n").as_bytes(), false);
-                        }
-                        Route::Req(ask, call) => self.open_req(number, &ask, call),
+            Intake::Bad(bad) => {
+                let status = client::status_of(bad);
+                self.log.line(self.now, "bad-request", format_args!("status={status} why={bad:?}"));
+                self.reply(number, status, &[], b"the request can't be read\n", true);
+            }
+            Intake::Message(head, body, began) => {
+                let waited = self.now.saturating_sub(began);
+                match client::route(head, body, &self.deployment, waited) {
+                    Route::Health => self.reply_health(number),
+                    Route::Wrong(status, why) => {
+                        self.log.line(self.now, "bad-request", format_args!("status={status} why={why}"));
+                        let allow: &[(&str, &str)] = if status == 405 { &[("allow", why)] } else { &[] };
+                        self.reply(number, status, allow, format!("{why}\n").as_bytes(), false);
                     }
+                    Route::Req(ask, call) => self.open_req(number, &ask, call),
                 }
             }
         }
@@ -417,6 +419,9 @@
             let _ = epoll::modify(&self.epoll, &session.socket, token(SESSION, number), wanted);
         }
         session.deadline.set(session.time_limit(), &mut self.wheel, Due::Session(number));
+        if session.has_next() {
+            self.wheel.hang(self.now, Due::NextMessage(number));
+        }
     }
 
     // ---- Fetches. ----
