--- /dev/null
+++ b/node/src/node/fetches.rs
@@ -0,0 +1,154 @@
+//! The loop's side of fetches: starting attempts, the pool, and how attempts ended.
+
+use kitefork::{BackendId, Event, Nanos, Outcome};
+use rustix::event::epoll;
+
+use super::{BOTH, Due, FETCH, Node, READ, token};
+use crate::fetch::{self, Fetch, Job, Progress};
+use crate::http1;
+use crate::net;
+
+impl Node {
+    pub(super) fn start_fetch(&mut self, backend: BackendId, job: Job, until: Nanos, write_by: Nanos) {
+        let bytes = match job {
+            Job::Probe { .. } => http1::write("GET /ping HTTP/1.1", [("host", "kitefork")], None),
+            Job::Req { req, .. } => match self.reqs.cargo(req) {
+                Some(call) => call.bytes(until.saturating_sub(self.now)),
+                None => return,
+            },
+        };
+        let Some(number) = self.connection(backend) else {
+            return self.report(job, Outcome::ConnectFailed, None);
+        };
+        let connect_timeout = self.deployment.connect_timeout;
+        let Some(fetch) = self.fetches.get_mut(number) else { return };
+        let fits = fetch.outbox.push(&bytes);
+        (fetch.job, fetch.until, fetch.write_by) = (Some(job), until, write_by);
+        let by = match fetch.phase {
+            fetch::Phase::Connecting => until.min(write_by).min(self.now.saturating_add(connect_timeout)),
+            _ => until.min(write_by),
+        };
+        fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
+        if fits { self.go_on(number, false) } else { self.end_fetch(number, Outcome::ConnectFailed) }
+    }
+
+    /// A connection to a backend: the newest idle one that is sound, or a new one.
+    pub(super) fn connection(&mut self, backend: BackendId) -> Option<u32> {
+        let endpoint = self.fleet.endpoint(backend)?;
+        while let Some(number) = self.pool.take(backend) {
+            if let Some(fetch) = self.fetches.get_mut(number)
+                && fetch.is_sound()
+            {
+                fetch.phase = fetch::Phase::Sending;
+                return Some(number);
+            }
+            self.fetches.remove(number);
+        }
+        if self.fetches.is_full() {
+            let spare = self.pool.spare()?;
+            self.fetches.remove(spare);
+        }
+        let socket = net::dial(endpoint).inspect_err(|error| {
+            self.log.line(self.now, "dial-failed", format_args!("backend={} {error}", backend.0));
+        });
+        let socket = socket.ok()?;
+        let number = self.fetches.vacant()?;
+        epoll::add(&self.epoll, &socket, token(FETCH, number), BOTH).ok()?;
+        self.fetches.insert(Fetch::new(socket, backend, BOTH))
+    }
+
+    /// Moves a fetch on as far as its socket lets it.
+    pub(super) fn go_on(&mut self, number: u32, ready: bool) {
+        let Some(fetch) = self.fetches.get_mut(number) else { return };
+        let before = fetch.phase;
+        match fetch.go_on(ready) {
+            Progress::Going => {
+                let wanted = match fetch.phase {
+                    fetch::Phase::Connecting | fetch::Phase::Sending => BOTH,
+                    fetch::Phase::Waiting | fetch::Phase::Idle => READ,
+                };
+                if wanted != fetch.interest {
+                    fetch.interest = wanted;
+                    let _ = epoll::modify(&self.epoll, &fetch.socket, token(FETCH, number), wanted);
+                }
+                let by = match fetch.phase {
+                    fetch::Phase::Waiting => fetch.until,
+                    _ => fetch.until.min(fetch.write_by),
+                };
+                if fetch.phase != before {
+                    fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
+                }
+            }
+            Progress::Answered(head, body, reusable) => self.answered(number, &head, body, reusable),
+            Progress::Failed(outcome) => self.end_fetch(number, outcome),
+            Progress::Stale => {
+                let backend = fetch.backend;
+                self.pool.remove(backend, number);
+                self.fetches.remove(number);
+            }
+        }
+    }
+
+    pub(super) fn answered(&mut self, number: u32, head: &http1::Head, body: Vec<u8>, reusable: bool) {
+        let Some(fetch) = self.fetches.get_mut(number) else { return };
+        let (job, backend) = (fetch.job.take(), fetch.backend);
+        // A backend that is leaving gets its connections closed.
+        if reusable && self.fleet.endpoint(backend).is_some() {
+            fetch.phase = fetch::Phase::Idle;
+            // Clearly before the backend's machine would close it: what crosses that close is a reset.
+            let by = self.now.saturating_add(self.deployment.idle_limit / 4 * 3);
+            fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
+            self.pool.put(backend, number);
+        } else {
+            self.fetches.remove(number);
+        }
+        if let Some(job) = job {
+            self.report(job, fetch::outcome(head), Some((head, body)));
+        }
+    }
+
+    /// Closes a fetch's connection, and only then tells how its attempt ended.
+    pub(super) fn end_fetch(&mut self, number: u32, outcome: Outcome) {
+        if let Some(Fetch { job: Some(job), .. }) = self.fetches.remove(number) {
+            self.report(job, outcome, None);
+        }
+    }
+
+    pub(super) fn report(&mut self, job: Job, outcome: Outcome, answer: Option<(&http1::Head, Vec<u8>)>) {
+        match job {
+            Job::Req { req, attempt } => {
+                let owner = self.reqs.ended(self.now, req, attempt, outcome);
+                if let (Some(owner), Some((head, body))) = (owner, answer) {
+                    let headers: Vec<(&str, &str)> = head.end_to_end().collect();
+                    self.reply(owner, 200, &headers, &body, false);
+                    self.answered.push_back(owner);
+                }
+            }
+            Job::Probe { backend, sent } => {
+                let latency = self.now.saturating_sub(sent);
+                self.reqs.feed(self.now, Event::Probed { backend, latency, outcome, load: Vec::new() });
+            }
+        }
+    }
+
+    pub(super) fn fetch_due(&mut self, number: u32) {
+        let Some(fetch) = self.fetches.get_mut(number) else { return };
+        if !fetch.deadline.is_due(self.now, &mut self.wheel, Due::Fetch(number)) {
+            return;
+        }
+        if fetch.phase == fetch::Phase::Idle {
+            let backend = fetch.backend;
+            self.pool.remove(backend, number);
+            self.fetches.remove(number);
+        } else {
+            let outcome = fetch.broken(Outcome::Timeout);
+            self.end_fetch(number, outcome);
+        }
+    }
+
+    pub(super) fn close_idle(&mut self, backend: BackendId) {
+        for number in self.pool.drain(backend) {
+            self.fetches.remove(number);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/node/lists.rs
@@ -0,0 +1,96 @@
+//! The loop's side of discovery: calls, and what their news does to connections.
+
+use kitefork::{Event, Outcome};
+use rustix::event::epoll::{self, EventFlags};
+use rustix::io::Errno;
+
+use super::{BOTH, CALL, Due, Node, READ, token};
+use crate::discovery::{self, Call, News, Update};
+use crate::fetch::{self, Fetch};
+use crate::net;
+
+impl Node {
+    pub(super) fn watch(&mut self, on: bool) {
+        let open: Vec<u32> = self.calls.iter().filter(|(_, call)| call.watch).map(|(n, _)| n).collect();
+        for number in open {
+            self.calls.remove(number);
+        }
+        if on {
+            self.call(true);
+        } else {
+            // Each call of the decisions gets one event: nothing has changed.
+            self.take_update(&Update { rev: self.rev, ..Update::default() }, false);
+        }
+    }
+
+    pub(super) fn call(&mut self, watch: bool) {
+        let opened = net::dial(self.discovery).and_then(|socket| {
+            let number = self.calls.vacant().ok_or(Errno::MFILE)?;
+            epoll::add(&self.epoll, &socket, token(CALL, number), BOTH)?;
+            let mut call = Call::new(socket, watch, self.rev, self.discovery, self.now);
+            call.deadline.set(self.now + discovery::CONNECT, &mut self.wheel, Due::Call(number));
+            self.calls.insert(call);
+            Ok(())
+        });
+        if let Err(error) = opened {
+            self.log.line(self.now, "discovery-failed", error);
+            self.reqs.feed(self.now, Event::ListFailed);
+        }
+    }
+
+    pub(super) fn read_call(&mut self, number: u32, flags: EventFlags) {
+        let Some(call) = self.calls.get_mut(number) else { return };
+        if flags.intersects(EventFlags::OUT) && !call.outbox.is_empty() {
+            // A connection that did not come up shows when it is read.
+            let _ = call.outbox.write_to(&call.socket);
+            if call.outbox.is_empty() {
+                call.heard = self.now;
+                let _ = epoll::modify(&self.epoll, &call.socket, token(CALL, number), READ);
+            }
+        }
+        let news = call.read(self.now);
+        if call.outbox.is_empty() {
+            call.deadline.set(call.heard + discovery::SILENCE, &mut self.wheel, Due::Call(number));
+        }
+        self.take_news(number, news);
+    }
+
+    pub(super) fn take_news(&mut self, number: u32, news: News) {
+        if news.over.is_some() {
+            self.calls.remove(number);
+        }
+        for update in &news.updates {
+            self.take_update(update, false);
+        }
+        if let Some(why) = news.over.filter(|_| !news.well) {
+            self.log.line(self.now, "discovery-failed", why);
+            self.reqs.feed(self.now, Event::ListFailed);
+        }
+    }
+
+    pub(super) fn call_due(&mut self, number: u32) {
+        let Some(call) = self.calls.get_mut(number) else { return };
+        if call.deadline.is_due(self.now, &mut self.wheel, Due::Call(number)) {
+            let over = Some("silent for too long".to_string());
+            self.take_news(number, News { over, ..News::default() });
+        }
+    }
+
+    pub(super) fn take_update(&mut self, update: &Update, cached: bool) {
+        self.rev = update.rev;
+        let (event, ends) = self.fleet.apply(&self.clock, update, cached);
+        self.reqs.feed(self.now, event);
+        for backend in ends {
+            self.close_idle(backend);
+            // What is not connected yet would write its first byte at any later time; the rule on drains
+            // counts that byte. It never ran, so it can go elsewhere.
+            let connecting = |(_, fetch): &(u32, &Fetch)| {
+                fetch.backend == backend && fetch.phase == fetch::Phase::Connecting
+            };
+            let numbers: Vec<u32> = self.fetches.iter().filter(connecting).map(|(n, _)| n).collect();
+            for number in numbers {
+                self.end_fetch(number, Outcome::ConnectFailed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/node/sessions.rs
@@ -0,0 +1,203 @@
+//! The loop's side of client sessions: taking clients, reading reqs, writing answers.
+
+use std::os::fd::OwnedFd;
+
+use kitefork::Nanos;
+use rustix::event::epoll::{self, EventFlags};
+
+use super::{BOTH, Due, LISTENER, Node, READ, SESSION, token};
+use crate::client::{self, Intake, Route, Session};
+use crate::clock::MS;
+use crate::net;
+use crate::req::{Ask, Synthetic};
+
+/// When clients can't be taken, taking them goes on after this time.
+const ACCEPT_PAUSE: Nanos = 50 * MS;
+
+impl Node {
+    /// Takes every client that waits: what the kernel has accepted counts as ours.
+    pub(super) fn accept(&mut self) {
+        while self.accepting {
+            if self.sessions.is_full() && !self.close_oldest_session() {
+                self.log.line(self.now, "sessions-full", format_args!("held={}", self.sessions.len()));
+                return self.pause_accepting();
+            }
+            let Some(listener) = &self.listener else { return };
+            match net::accept(listener) {
+                Ok(Some(socket)) => self.open_session(socket),
+                Ok(None) => return,
+                Err(error) => {
+                    self.log.line(self.now, "accept-failed", error);
+                    // Out of descriptors: an idle session gives up its own. No spin on what can't be taken.
+                    self.close_oldest_session();
+                    return self.pause_accepting();
+                }
+            }
+        }
+    }
+
+    pub(super) fn pause_accepting(&mut self) {
+        self.set_accepting(false);
+        self.wheel.hang(self.now + ACCEPT_PAUSE, Due::Accept);
+    }
+
+    pub(super) fn set_accepting(&mut self, on: bool) {
+        self.accepting = on;
+        if let Some(listener) = &self.listener {
+            let flags = if on { EventFlags::IN } else { EventFlags::empty() };
+            let _ = epoll::modify(&self.epoll, listener, token(LISTENER, 0), flags);
+        }
+    }
+
+    pub(super) fn open_session(&mut self, socket: OwnedFd) {
+        let Some(number) = self.sessions.vacant() else { return };
+        if let Err(error) = epoll::add(&self.epoll, &socket, token(SESSION, number), READ) {
+            return self.log.line(self.now, "epoll-failed", error);
+        }
+        self.sessions.insert(Session::new(socket, self.now, READ));
+        self.read_session(number);
+    }
+
+    /// Closes the session that has been idle for longest; tells whether there was one.
+    pub(super) fn close_oldest_session(&mut self) -> bool {
+        let idle = self.sessions.iter().filter(|(_, session)| session.is_idle());
+        let oldest = idle.min_by_key(|(_, session)| session.since()).map(|(number, _)| number);
+        oldest.is_some_and(|number| self.close_session(number))
+    }
+
+    /// Closes a session; a req that it waits for has lost its client.
+    pub(super) fn close_session(&mut self, number: u32) -> bool {
+        let Some(session) = self.sessions.remove(number) else { return false };
+        if let Some(req) = session.req {
+            self.reqs.gone(self.now, req);
+        }
+        true
+    }
+
+    pub(super) fn session_due(&mut self, number: u32) {
+        let Some(session) = self.sessions.get_mut(number) else { return };
+        if !session.deadline.is_due(self.now, &mut self.wheel, Due::Session(number)) {
+            return;
+        }
+        if session.phase == client::Phase::Open && session.outbox.is_empty() && !session.is_idle() {
+            self.reply(number, 408, &[], b"the request did not come whole\n", true);
+            return self.answered.push_back(number);
+        }
+        self.close_session(number);
+    }
+
+    pub(super) fn session_ready(&mut self, number: u32, flags: EventFlags) {
+        let left = flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR);
+        // With a full inbox the end can't be read, and would be told again without a pause.
+        if left && self.sessions.get(number).is_some_and(Session::is_stuffed) {
+            self.close_session(number);
+        } else {
+            self.read_session(number);
+        }
+    }
+
+    /// Reads a session and takes one message. The next one, if it has come behind it, gets its turn a tick
+    /// later: a client that sends without end must not hold the loop.
+    pub(super) fn read_session(&mut self, number: u32) {
+        let Some(session) = self.sessions.get_mut(number) else { return };
+        if !session.flush(self.now) {
+            self.close_session(number);
+            return;
+        }
+        match session.read(self.now) {
+            Intake::Wait => {}
+            Intake::Gone => {
+                self.close_session(number);
+                return;
+            }
+            Intake::Bad(bad) => {
+                let status = client::status_of(bad);
+                self.log.line(self.now, "bad-request", format_args!("status={status} why={bad:?}"));
+                self.reply(number, status, &[], b"the request can't be read\n", true);
+            }
+            Intake::Message(head, body, began) => {
+                let waited = self.now.saturating_sub(began);
+                match client::route(head, body, &self.deployment, waited) {
+                    Route::Health => self.reply_health(number),
+                    Route::Wrong(status, why) => {
+                        self.log.line(self.now, "bad-request", format_args!("status={status} why={why}"));
+                        let allow: &[(&str, &str)] = if status == 405 { &[("allow", why)] } else { &[] };
+                        self.reply(number, status, allow, format!("{why}\n").as_bytes(), false);
+                    }
+                    Route::Req(ask, call) => self.open_req(number, &ask, call),
+                }
+            }
+        }
+        self.settle_session(number);
+    }
+
+    pub(super) fn reply_health(&mut self, number: u32) {
+        let (status, word) = match (self.draining, self.fleet.has_ready()) {
+            (true, _) => (503, "ending\n"),
+            (false, false) => (503, "no backend is ready\n"),
+            (false, true) => (200, "ok\n"),
+        };
+        self.reply(number, status, &[], word.as_bytes(), false);
+    }
+
+    pub(super) fn open_req(&mut self, number: u32, ask: &Ask, call: client::Call) {
+        let Some((req, last_resort)) = self.reqs.open(self.now, number, ask, call) else {
+            self.log.line(self.now, "reqs-full", "refused");
+            return self.reply(number, 503, &[], b"too many requests are held\n", false);
+        };
+        if let Some(session) = self.sessions.get_mut(number) {
+            session.req = Some(req);
+        }
+        self.wheel.hang(last_resort, Due::Req(req));
+    }
+
+    /// Gives a session an answer of the node's own.
+    pub(super) fn reply(
+        &mut self,
+        number: u32,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+        end: bool,
+    ) {
+        let end = end || self.draining;
+        if let Some(session) = self.sessions.get_mut(number) {
+            session.answer(self.now, status, headers, body, end);
+        }
+    }
+
+    pub(super) fn give_synthetic(&mut self, number: u32, answer: Synthetic) {
+        let (status, advice) = client::status_and_advice(answer);
+        let advice = advice.as_deref().map(|seconds| ("retry-after", seconds));
+        let body = match answer {
+            Synthetic::Refused { .. } => "refused: trying again is harmless\n",
+            Synthetic::Failed => "failed\n",
+            Synthetic::TimedOut => "no answer in time\n",
+        };
+        self.reply(number, status, advice.as_slice(), body.as_bytes(), false);
+        self.answered.push_back(number);
+    }
+
+    /// Writes what there is to write, and looks for the right events and deadline.
+    pub(super) fn settle_session(&mut self, number: u32) {
+        let Some(session) = self.sessions.get_mut(number) else { return };
+        if !session.flush(self.now) {
+            self.close_session(number);
+            return;
+        }
+        let wanted = match (session.outbox.is_empty(), session.is_stuffed()) {
+            (true, false) => READ,
+            (true, true) => EventFlags::RDHUP,
+            (false, false) => BOTH,
+            (false, true) => EventFlags::OUT | EventFlags::RDHUP,
+        };
+        if wanted != session.interest {
+            session.interest = wanted;
+            let _ = epoll::modify(&self.epoll, &session.socket, token(SESSION, number), wanted);
+        }
+        session.deadline.set(session.time_limit(), &mut self.wheel, Due::Session(number));
+        if session.has_next() {
+            self.wheel.hang(self.now, Due::NextMessage(number));
+        }
+    }
+}
