Follow discovery to its new address on SIGHUP instead of dying of it

Checked: main.rs registered SIGTERM and SIGINT only, so SIGHUP had its default action; config.rs let BALANCER_DISCOVERY win, which names the old address; lists.rs closed an open watch at every Subscribe, so that the end of a backoff would have cut the new one. Ruled out: a crash in the node's own code (no panic in the log). Now: SIGHUP has a stream of its own beside SIGTERM; the file's discovery wins; the old calls are closed by the node without a failure event, the new watch opens at once; a faulty file is one line and changes nothing.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -21,6 +21,13 @@
     pub deployment: Deployment,
 }
 
+/// Where the configuration file, read anew, has discovery. The whole file must be sound. The environment does
+/// not win here: it can't change in a running process and still has the address from the start.
+pub fn reload(env: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, Fault> {
+    let env = |name: &str| env(name).filter(|_| name != "BALANCER_DISCOVERY");
+    load(env).map(|config| config.discovery)
+}
+
 /// Reads it all; an error is one line that names the key or variable.
 pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
     let path = env("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -45,7 +45,10 @@
 
 /// What a socket belongs to; its epoll token holds this and a number.
 const LISTENER: u64 = 0;
+/// The number is the signal's place among the node's.
 const SIGNAL: u64 = 1;
+const TERMINATE: u32 = 0;
+const RELOAD: u32 = 1;
 const SESSION: u64 = 2;
 const FETCH: u64 = 3;
 const CALL: u64 = 4;
@@ -68,7 +71,8 @@
     /// `None` once no more clients are taken.
     listener: Option<OwnedFd>,
     accepting: bool,
-    signal: UnixStream,
+    /// Readable when the node is to end, and when it is to read its configuration anew.
+    signals: [UnixStream; 2],
     draining: bool,
     sessions: Slots<Session>,
     /// Sessions whose req has been answered: the answer is to be written, and the next message may be there.
@@ -82,8 +86,9 @@
 }
 
 impl Node {
-    /// Starts to listen. `signal` becomes readable when the node is to end.
-    pub fn start(config: Config, signal: UnixStream) -> Result<Node, String> {
+    /// Starts to listen. The first of `signals` becomes readable when the node is to end, the second when it
+    /// is to read its configuration anew.
+    pub fn start(config: Config, signals: [UnixStream; 2]) -> Result<Node, String> {
         let clock = Clock::start();
         let now = clock.read();
         let deployment = config.deployment;
@@ -104,7 +109,9 @@
             rustix::net::getsockname(&listener).and_then(TryInto::try_into).map_err(wrong("getsockname"))?;
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(wrong("epoll"))?;
         epoll::add(&epoll, &listener, token(LISTENER, 0), EventFlags::IN).map_err(wrong("epoll"))?;
-        epoll::add(&epoll, &signal, token(SIGNAL, 0), EventFlags::IN).map_err(wrong("epoll"))?;
+        for (signal, number) in signals.iter().zip([TERMINATE, RELOAD]) {
+            epoll::add(&epoll, signal, token(SIGNAL, number), EventFlags::IN).map_err(wrong("epoll"))?;
+        }
         let mut node = Node {
             wheel: Wheel::new(tick, now),
             now,
@@ -114,7 +121,7 @@
             discovery: config.discovery,
             listener: Some(listener),
             accepting: true,
-            signal,
+            signals,
             draining: false,
             // A session may end while its req's fetch is still out, so sessions need no more than their own.
             sessions: Slots::new(most_sessions),
@@ -171,7 +178,7 @@
     fn on_socket(&mut self, kind: u64, number: u32, flags: EventFlags) {
         match kind {
             LISTENER => self.accept(),
-            SIGNAL => self.begin_drain(),
+            SIGNAL => self.on_signal(number),
             SESSION => self.session_ready(number, flags),
             FETCH => self.go_on(number, true),
             CALL => self.read_call(number, flags),
@@ -179,6 +186,13 @@
         }
     }
 
+    fn on_signal(&mut self, number: u32) {
+        let mut bytes = [0; 16];
+        let signal = &self.signals[number as usize];
+        while matches!(rustix::io::read(signal, &mut bytes), Ok(1..)) {}
+        if number == TERMINATE { self.begin_drain() } else { self.reload() }
+    }
+
     fn on_due(&mut self, due: Due) {
         match due {
             Due::Session(number) => self.session_due(number),
--- a/node/src/node/end.rs
+++ b/node/src/node/end.rs
@@ -15,8 +15,6 @@
 
 impl Node {
     pub(super) fn begin_drain(&mut self) {
-        let mut bytes = [0; 16];
-        while matches!(rustix::io::read(&self.signal, &mut bytes), Ok(1..)) {}
         if self.draining {
             return;
         }
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -5,19 +5,45 @@
 use rustix::io::Errno;
 
 use super::{BOTH, CALL, Due, Node, READ, token};
+use crate::config;
 use crate::discovery::{self, Call, News, Update};
 use crate::fetch::{self, Fetch};
 use crate::net;
 
 impl Node {
-    pub(super) fn watch(&mut self, on: bool) {
-        let open: Vec<u32> = self.calls.iter().filter(|(_, call)| call.watch).map(|(n, _)| n).collect();
-        for number in open {
-            self.calls.remove(number);
+    /// Follows discovery to where the configuration now has it, and at once, whatever the decisions' backoff:
+    /// the old one soon falls silent. Its calls are closed here, so that their end is no failure; the list,
+    /// reqs and sessions live on. A bad file changes nothing.
+    pub(super) fn reload(&mut self) {
+        match config::reload(|name| std::env::var(name).ok()) {
+            Ok(discovery) => {
+                self.log.line(self.now, "reload", format_args!("discovery={discovery}"));
+                self.discovery = discovery;
+                let open: Vec<(u32, bool)> = self.calls.iter().map(|(n, call)| (n, call.watch)).collect();
+                for (number, _) in &open {
+                    self.calls.remove(*number);
+                }
+                // A list that was on its way is still wanted; a watch is resumed, or opened early.
+                open.iter().filter(|(_, watch)| !watch).for_each(|_| self.call(false));
+                if self.deployment.settings.ask_list {
+                    self.call(true);
+                }
+            }
+            Err(why) => self.log.line(self.now, "reload-failed", why),
         }
+    }
+
+    pub(super) fn watch(&mut self, on: bool) {
+        let open = self.calls.iter().find(|(_, call)| call.watch).map(|(n, _)| n);
         if on {
-            self.call(true);
+            // One is open already where a new configuration came before the end of a backoff.
+            if open.is_none() {
+                self.call(true);
+            }
         } else {
+            if let Some(number) = open {
+                self.calls.remove(number);
+            }
             // Each call of the decisions gets one event: nothing has changed.
             self.take_update(&Update { rev: self.rev, ..Update::default() }, false);
         }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -81,6 +81,12 @@
         (party, stream)
     }
 
+    /// No connection of the node's waits here.
+    pub fn is_quiet(&self) -> bool {
+        self.0.set_nonblocking(true).unwrap();
+        self.0.accept().is_err()
+    }
+
     /// Waits for the node's next connection.
     pub fn wait(&self) -> Line {
         set_socket_timeout(&self.0, Timeout::Recv, Some(LIMIT)).unwrap();
@@ -105,6 +111,7 @@
     pub discovery: Party,
     pub backend: Party,
     node: Child,
+    config: String,
     log: BufReader<ChildStderr>,
     address: SocketAddr,
 }
@@ -130,26 +137,40 @@
             discovery.address(),
             entry("s-1", backend.address(), "Ready")
         );
-        let mut node = run(&change(config));
+        let config = change(config);
+        let mut node = run(&config, &[("BALANCER_DISCOVERY", discovery.address())]);
         let mut log = BufReader::new(node.stderr.take().unwrap());
         let line = next_line(&mut log);
         let address = line.strip_prefix("kitefork: start name=t1 listen=").and_then(|l| l.split(' ').next());
         let address = address.and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("no start in {line:?}"));
-        World { discovery, backend, node, log, address }
+        World { discovery, backend, node, config, log, address }
     }
 
     pub fn client(&self) -> Line {
         Line::new(TcpStream::connect(self.address).unwrap())
     }
 
-    /// Waits for a line of the log that holds `part`.
-    pub fn expect_log(&mut self, part: &str) {
-        while !next_line(&mut self.log).contains(part) {}
+    /// Waits for a line of the log that holds `part`; gives the lines up to it.
+    pub fn expect_log(&mut self, part: &str) -> String {
+        let mut lines = String::new();
+        while !lines.contains(part) {
+            lines += &next_line(&mut self.log);
+        }
+        lines
     }
 
     pub fn terminate(&self) {
-        let pid = rustix::process::Pid::from_child(&self.node);
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+        self.signal(rustix::process::Signal::TERM);
+    }
+
+    /// Replaces the configuration by what `change` makes of the first one, and tells the node.
+    pub fn reload(&self, change: impl Fn(&str) -> String) {
+        std::fs::write(config_path(), change(&self.config)).unwrap();
+        self.signal(rustix::process::Signal::HUP);
+    }
+
+    fn signal(&self, signal: rustix::process::Signal) {
+        rustix::process::kill_process(rustix::process::Pid::from_child(&self.node), signal).unwrap();
     }
 
     pub fn wait_exit(mut self) -> ExitStatus {
@@ -170,15 +191,20 @@
     line
 }
 
-/// Runs the program with this configuration.
-pub fn run(config: &str) -> Child {
+/// Each test has a thread and so a file of its own.
+fn config_path() -> std::path::PathBuf {
     let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
     let unique = format!("{}-{:?}.json", std::process::id(), std::thread::current().id());
-    let path = folder.join(unique.replace(['(', ')'], ""));
-    std::fs::write(&path, config).unwrap();
+    folder.join(unique.replace(['(', ')'], ""))
+}
+
+/// Runs the program with this configuration, and addresses in its environment.
+pub fn run(config: &str, addresses: &[(&str, SocketAddr)]) -> Child {
+    std::fs::write(config_path(), config).unwrap();
     Command::new(env!("CARGO_BIN_EXE_kitefork"))
         .env_clear()
-        .env("BALANCER_CONFIG", path)
+        .env("BALANCER_CONFIG", config_path())
+        .envs(addresses.iter().map(|(name, address)| (name, address.to_string())))
         .stderr(Stdio::piped())
         .spawn()
         .unwrap()
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -283,9 +283,60 @@
     assert_eq!(world.wait_exit().code(), Some(0));
 }
 
+#[test]
+fn sighup_moves_the_watch_at_once_and_leaves_list_reqs_and_sessions_alone() {
+    let mut world = World::start();
+    let mut client = world.client();
+    client.send(&report("s", 5000));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    let mut watch = world.discovery.wait();
+    let old = world.discovery.address().to_string();
+    // Twice, and each time to a place of its own. The environment still has the first.
+    for next in [Party::new(), Party::new()] {
+        world.reload(|config| config.replace(&old, &next.address().to_string()));
+        let mut new = next.wait();
+        new.expect("after=7 ");
+        watch.expect_end();
+        watch = new;
+    }
+    world.reload(|config| config.replace("\"discovery\"", "\"dicovery\""));
+    let log = world.expect_log("reload-failed configuration: missing field `discovery`");
+    assert!(!log.contains("discovery-failed") && !log.contains("out of reach"), "{log}");
+    backend.serve("200 OK", "played");
+    client.expect("played");
+    client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+    // A reload and an end that come together are both followed.
+    let last = Party::new();
+    world.reload(|config| config.replace(&old, &last.address().to_string()));
+    world.terminate();
+    last.wait().expect("after=7 ");
+    assert_eq!(world.wait_exit().code(), Some(0));
+}
+
+#[test]
+fn sighup_does_not_wait_for_a_backoff_and_the_backoff_opens_no_second_watch() {
+    let mut world =
+        World::with(|config| config.replace(r#""coldFrom""#, r#""askWithinNs":20000000000,"coldFrom""#));
+    // The decisions wait half a second or more before they ask again.
+    let old = world.discovery.address().to_string();
+    world.discovery.wait().close();
+    world.expect_log("list out of reach");
+    let next = Party::new();
+    world.reload(|config| config.replace(&old, &next.address().to_string()));
+    let mut watch = next.wait();
+    watch.expect("after=7 ");
+    world.expect_log("reload discovery=");
+    // The backoff has passed when this silence has, and the next one has not.
+    watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    world.expect_log("discovery-failed silent");
+    watch.expect_end();
+    assert!(next.is_quiet());
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_and_no_start() {
-    let mut node = run(r#"{"seed":"1"}"#);
+    let mut node = run(r#"{"seed":"1"}"#, &[]);
     let mut line = String::new();
     std::io::Read::read_to_string(&mut node.stderr.take().unwrap(), &mut line).unwrap();
     assert_eq!(line, "kitefork: fault configuration: missing field `settings`\n");
