A backend's 4xx is the req's own fault: no ejection, no retry; twins are refused

A probe printed what backends answer: 419 times 400, each to a req whose X-Txn another client had used, each tried five times; 373 spoilt answers beside them. It also printed room and ejections: up to four of eight backends ejected, room down to 2, 125 reqs waiting, all before any backend was slow. Checked: fetch.rs outcome() made every 4xx an Error, and balance.rs on_failure() counts errors against the backend and the retries against the storm limit. Ruled out: bytes buffered, descriptors (208 of 384), CPU (0.07 of a core). Also: req.rs open() took a req whose X-Txn was open here, a second copy on the wire. Now: 4xx (but 408, 425, 429) is Rejected: the req's end, passed on as it is, no sample and no failure of the backend; a req named as an open one gets 409 unseen.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -201,12 +201,15 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
-        _ => "HTTP Version Not Supported",
+        505 => "HTTP Version Not Supported",
+        // A backend's own; the words mean nothing to a reader.
+        _ => "Rejected",
     }
 }
 
@@ -289,7 +292,7 @@
         names.iter().position(|known| name == Some(known)).and_then(|place| u16::try_from(place).ok())
     };
     let printable = |text: &&str| !text.is_empty() && text.len() <= 256;
-    header("x-txn")?.filter(printable).ok_or((400, "X-Txn is missing or bad"))?;
+    let txn = header("x-txn")?.filter(printable).ok_or((400, "X-Txn is missing or bad"))?;
     let class = place(&deployment.classes, header("x-lane")?).ok_or((400, "X-Lane is missing or unknown"))?;
     let tenant = match header("x-org")? {
         None if deployment.tenants.is_empty() => 0,
@@ -317,6 +320,7 @@
         return Err((400, "Idempotency-Key is missing"));
     }
     Ok(Some(Ask {
+        txn: txn.into(),
         class,
         tenant,
         // Counted from when the client sent it: what its last bytes took to come has passed.
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -146,6 +146,9 @@
 pub fn outcome(head: &Head) -> Outcome {
     match head.start {
         Start::Response { status: 200 } => Outcome::Ok,
+        // Overload and haste are told by a 4xx too, but they are no fault of the req's.
+        Start::Response { status: 408 | 425 | 429 } => Outcome::Error,
+        Start::Response { status: 400..=499 } => Outcome::Rejected,
         Start::Response { status: 503 | 504 } if head.one("x-turned-away") == Ok(Some("1")) => Outcome::Full,
         _ => Outcome::Error,
     }
@@ -232,6 +235,8 @@
         assert_eq!(end(&format!("HTTP/1.1 503 No\r\n{away}"), false), Ok((Outcome::Full, true)));
         assert_eq!(end(&format!("HTTP/1.1 504 No\r\n{away}"), false), Ok((Outcome::Full, true)));
         assert_eq!(end(&format!("HTTP/1.1 500 No\r\n{away}"), false), Ok((Outcome::Error, true)));
+        assert_eq!(end(&format!("HTTP/1.1 400 No\r\n{away}"), false), Ok((Outcome::Rejected, true)));
+        assert_eq!(end(&format!("HTTP/1.1 429 No\r\n{away}"), false), Ok((Outcome::Error, true)));
         assert_eq!(end("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false), Ok((Outcome::Error, true)));
         assert_eq!(end(&ok[..ok.len() - 1], true), Err(Outcome::Reset));
         assert_eq!(end("", true), Err(Outcome::Reset));
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -120,7 +120,8 @@
                 let owner = self.reqs.ended(self.now, req, attempt, outcome);
                 if let (Some(owner), Some((head, body))) = (owner, answer) {
                     let headers: Vec<(&str, &str)> = head.end_to_end().collect();
-                    self.reply(owner, 200, &headers, &body, false);
+                    let http1::Start::Response { status } = head.start else { return };
+                    self.reply(owner, status, &headers, &body, false);
                     self.answered.push_back(owner);
                 }
             }
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -9,7 +9,7 @@
 use crate::client::{self, Intake, Route, Session};
 use crate::clock::MS;
 use crate::net;
-use crate::req::{Ask, Synthetic};
+use crate::req::{Ask, Barred, Synthetic};
 
 /// When clients can't be taken, taking them goes on after this time.
 const ACCEPT_PAUSE: Nanos = 50 * MS;
@@ -124,7 +124,7 @@
                         let allow: &[(&str, &str)] = if status == 405 { &[("allow", why)] } else { &[] };
                         self.reply(number, status, allow, format!("{why}\n").as_bytes(), false);
                     }
-                    Route::Req(ask, call) => self.open_req(number, &ask, call),
+                    Route::Req(ask, call) => self.open_req(number, ask, call),
                 }
             }
         }
@@ -140,10 +140,17 @@
         self.reply(number, status, &[], word.as_bytes(), false);
     }
 
-    pub(super) fn open_req(&mut self, number: u32, ask: &Ask, call: client::Call) {
-        let Some((req, last_resort)) = self.reqs.open(self.now, number, ask, call) else {
-            self.log.line(self.now, "reqs-full", "refused");
-            return self.reply(number, 503, &[], b"too many requests are held\n", false);
+    pub(super) fn open_req(&mut self, number: u32, ask: Ask, call: client::Call) {
+        let (req, last_resort) = match self.reqs.open(self.now, number, ask, call) {
+            Ok(opened) => opened,
+            Err(Barred::Full) => {
+                self.log.line(self.now, "reqs-full", "refused");
+                return self.reply(number, 503, &[], b"too many requests are held\n", false);
+            }
+            Err(Barred::Twin) => {
+                self.log.line(self.now, "bad-request", "status=409 why=its X-Txn is open");
+                return self.reply(number, 409, &[], b"a request with this X-Txn is open\n", false);
+            }
         };
         if let Some(session) = self.sessions.get_mut(number) {
             session.req = Some(req);
--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -2,7 +2,7 @@
 //! decided becomes an `Order` to whoever holds the connections. Nothing here knows how a req or its answer
 //! looks on a wire: `C`, what is carried to the backend, belongs to the codec.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 
 use kitefork::{
     Action, BackendId, Balancer, ClassId, Effect, Event, Group, Nanos, Outcome, Request, RequestId, Settings,
@@ -14,6 +14,8 @@
 /// A req as the client put it.
 #[derive(Debug, Clone)]
 pub struct Ask {
+    /// The client's own name for it.
+    pub txn: Box<str>,
     pub class: u16,
     pub tenant: u16,
     /// How long the client still waits.
@@ -33,6 +35,15 @@
     TimedOut,
 }
 
+/// Why a req is not taken up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Barred {
+    /// No more are held.
+    Full,
+    /// One of this name is open.
+    Twin,
+}
+
 /// What is to be done on the connections.
 #[derive(Debug, PartialEq)]
 pub enum Order {
@@ -73,6 +84,7 @@
 
 struct Req<C> {
     owner: u32,
+    txn: Box<str>,
     cargo: C,
     effect: Effect,
     deadline: Nanos,
@@ -113,6 +125,8 @@
 pub struct Reqs<C> {
     balancer: Balancer,
     table: Slots<Req<C>>,
+    /// Names of the reqs in the table.
+    names: HashSet<Box<str>>,
     effects: Vec<Effect>,
     max_attempts: usize,
     second_copies: bool,
@@ -126,6 +140,7 @@
     pub fn new(settings: Settings, seed: u64, most: usize, now: Nanos) -> Result<Reqs<C>, SettingsError> {
         Ok(Reqs {
             table: Slots::new(most),
+            names: HashSet::new(),
             effects: settings.classes.iter().map(|class| class.effect).collect(),
             max_attempts: settings.limits.max_attempts as usize,
             second_copies: settings.limits.second_copies,
@@ -136,17 +151,24 @@
         })
     }
 
-    /// Takes up a req; gives its number and the time of its last resort. `None`: no more are held.
-    pub fn open(&mut self, now: Nanos, owner: u32, ask: &Ask, cargo: C) -> Option<(u32, Nanos)> {
-        let id = self.table.insert(Req {
+    /// Takes up a req; gives its number and the time of its last resort. One of the same name as another that
+    /// is open or has an attempt out is not: its attempt would be a second copy of the other's.
+    pub fn open(&mut self, now: Nanos, owner: u32, ask: Ask, cargo: C) -> Result<(u32, Nanos), Barred> {
+        if self.names.contains(&ask.txn) {
+            return Err(Barred::Twin);
+        }
+        let req = Req {
             owner,
+            txn: ask.txn.clone(),
             cargo,
             effect: self.effects[usize::from(ask.class)],
             deadline: now.saturating_add(ask.patience),
             attempts: Vec::new(),
             over: false,
             last_outcome: None,
-        })?;
+        };
+        let id = self.table.insert(req).ok_or(Barred::Full)?;
+        self.names.insert(ask.txn);
         let request = Request {
             id: RequestId(id),
             class: ClassId(ask.class),
@@ -159,23 +181,24 @@
             write: !matches!(self.effects[usize::from(ask.class)], Effect::Safe),
         };
         self.feed(now, Event::Request(request));
-        Some((id, now.saturating_add(ask.patience).saturating_add(self.slack)))
+        Ok((id, now.saturating_add(ask.patience).saturating_add(self.slack)))
     }
 
     pub fn cargo(&self, id: u32) -> Option<&C> {
         self.table.get(id).map(|req| &req.cargo)
     }
 
-    /// An attempt has ended. Gives the client session that is now to be served with its answer, if it is the
-    /// req's first and the client still waits.
+    /// An attempt has ended. Gives the client session that is now to have its answer, if it is the req's first
+    /// and the client still waits.
     pub fn ended(&mut self, now: Nanos, id: u32, attempt: u8, outcome: Outcome) -> Option<u32> {
         let req = self.table.get_mut(id)?;
         let ended = req.attempts.get_mut(usize::from(attempt)).filter(|a| a.outcome.is_none())?;
         ended.outcome = Some(outcome);
         let latency = now.saturating_sub(ended.sent);
         req.last_outcome = Some(outcome);
-        let served = (outcome == Outcome::Ok && !req.over).then_some(req.owner);
-        req.over |= outcome == Outcome::Ok;
+        let last = matches!(outcome, Outcome::Ok | Outcome::Rejected);
+        let served = (last && !req.over).then_some(req.owner);
+        req.over |= last;
         let finished = req.over;
         let request = RequestId(id);
         self.feed(now, Event::Outcome { request, attempt, latency, outcome, finished, load: Vec::new() });
@@ -297,8 +320,10 @@
 
     /// Ends a req that is over and has nothing out.
     fn forget(&mut self, id: u32) {
-        if self.table.get(id).is_some_and(|req| req.over && req.out() == 0) {
-            self.table.remove(id);
+        if self.table.get(id).is_some_and(|req| req.over && req.out() == 0)
+            && let Some(req) = self.table.remove(id)
+        {
+            self.names.remove(&req.txn);
         }
     }
 }
@@ -323,8 +348,11 @@
     }
 
     fn open(reqs: &mut Reqs<()>) -> u32 {
-        let ask = Ask { class: 0, tenant: 0, patience: SECOND, work_hint: None, client_retry: false };
-        reqs.open(NOW, 77, &ask, ()).unwrap().0
+        reqs.open(NOW, 77, ask(), ()).unwrap().0
+    }
+
+    fn ask() -> Ask {
+        Ask { txn: "a".into(), class: 0, tenant: 0, patience: SECOND, work_hint: None, client_retry: false }
     }
 
     fn answers(reqs: &mut Reqs<()>) -> Vec<Synthetic> {
@@ -345,6 +373,17 @@
         assert!(reqs.unanswered().is_empty() && reqs.cargo(id).is_none());
     }
 
+    #[test]
+    fn a_name_is_free_again_once_its_req_has_nothing_out() {
+        let mut reqs = reqs(Effect::Safe);
+        let id = open(&mut reqs);
+        assert_eq!(reqs.open(NOW, 78, ask(), ()), Err(Barred::Twin));
+        assert!(reqs.expire(NOW + SECOND, id));
+        assert_eq!(reqs.open(NOW + SECOND, 78, ask(), ()), Err(Barred::Twin));
+        reqs.ended(NOW + SECOND, id, 0, Outcome::Cancelled);
+        assert!(reqs.open(NOW + SECOND, 78, ask(), ()).is_ok());
+    }
+
     #[test]
     fn the_last_resort_answers_stops_the_fetch_and_keeps_the_req_until_that_has_ended() {
         let mut reqs = reqs(Effect::Safe);
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -195,6 +195,26 @@
     world.discovery.wait().expect("after=7 ");
 }
 
+#[test]
+fn the_name_of_an_open_req_is_refused_and_what_a_backend_rejects_is_tried_once() {
+    let world = World::start();
+    let (mut client, mut twin) = (world.client(), world.client());
+    client.send(&report("t", 5000));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    twin.send(&report("t", 5000));
+    assert!(twin.expect("is open\n").starts_with("HTTP/1.1 409 "));
+    // Ten faulty reqs: were the backend blamed, it would be ejected, and each would be tried again.
+    for id in 0..10 {
+        backend.serve("400 Bad Request", "unknown");
+        assert!(client.expect("unknown").starts_with("HTTP/1.1 400 "));
+        client.send(&report(&format!("t{id}"), 5000));
+        assert!(backend.expect("body").contains(&format!("x-txn: t{id}\r\n")));
+    }
+    backend.serve("200 OK", "played");
+    client.expect("played");
+}
+
 #[test]
 fn a_backend_that_is_silent_costs_a_504_in_time_and_its_connection() {
     let world = World::start();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -744,7 +744,7 @@
         if let Some(server) = self.servers.get_mut(&backend) {
             server.out -= 1.0;
             server.out_sent -= sent as f64 / SECOND;
-            server.spent += spent;
+            server.spent += if outcome == Outcome::Rejected { 0.0 } else { spent };
             if outcome == Outcome::Ok {
                 server.joined = if server.done > 0.0 { server.joined } else { now };
                 server.done += 1.0;
@@ -782,9 +782,10 @@
             self.conclude(id, actions);
         } else if open.out() == 0 {
             let open = &self.open[&id];
-            // An unsafe request that may have run is over.
+            // An unsafe request that may have run is over, and so is one that is itself at fault.
             let effect = self.settings.classes[class].effect;
-            let barred = effect == Effect::Unsafe && open.may_have_run().next().is_some();
+            let barred = effect == Effect::Unsafe && open.may_have_run().next().is_some()
+                || outcome == Outcome::Rejected;
             let more = !barred && open.attempts.len() < self.settings.limits.max_attempts as usize;
             let free = outcome == Outcome::ConnectFailed;
             let give_up = self.give_up(id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -276,6 +276,8 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// The backend found fault with the request itself: another would too, and it tells nothing of this one.
+    Rejected,
 }
 
 impl Outcome {
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -372,6 +372,19 @@
     assert!(feed.serve(400, |_| 10 * MS)[&BackendId(1)] > 40);
 }
 
+#[test]
+fn faulty_requests_neither_eject_a_backend_nor_go_out_again() {
+    let mut feed = Feed::new(settings(), (1..=4).map(backend).collect());
+    feed.serve(40, |_| 10 * MS);
+    for _ in 0..200 {
+        let (id, _) = feed.ask(2);
+        let actions = feed.end(id, 0, Outcome::Rejected);
+        assert!(actions.contains(&Action::Fail { request: id }), "{actions:?}");
+        assert!(!actions.iter().any(|a| matches!(a, Action::Send { .. } | Action::Log(_))), "{actions:?}");
+        feed.wait(10 * MS);
+    }
+}
+
 #[test]
 fn ejection_fails_open() {
     let mut feed = Feed::new(settings(), (1..=2).map(backend).collect());
