--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -188,8 +188,8 @@
         self.table.get(id).map(|req| &req.cargo)
     }
 
-    /// An attempt has ended. Gives the client session that is now to have its answer, if it is the req's first
-    /// and the client still waits.
+    /// An attempt has ended. Gives the client session that is now to have its answer, if it is the
+    /// req's first and the client still waits.
     pub fn ended(&mut self, now: Nanos, id: u32, attempt: u8, outcome: Outcome) -> Option<u32> {
         let req = self.table.get_mut(id)?;
         let ended = req.attempts.get_mut(usize::from(attempt)).filter(|a| a.outcome.is_none())?;
