Pass long answers whole, fail spoilt ones, and hold all buffers to one budget

Checked: http1.rs MOST_BODY (64 KiB) held for answers too. Ruled out: broken connections (inbox held the answer), idle closes (uses and ages differ).

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -7,9 +7,9 @@
 use rustix::event::epoll::EventFlags;
 
 use crate::clock::{MS, SECOND};
-use crate::http1::{self, Bad, Head, MOST_BODY, MOST_HEAD, Parser, Start};
+use crate::http1::{self, Bad, Head, MOST_ANSWER, MOST_HEAD, Parser, Start};
 use crate::req::{Ask, Synthetic};
-use crate::ring::{Read, Ring};
+use crate::ring::{Body, Budget, Read, Ring};
 use crate::wheel::Deadline;
 
 /// A session without a req ends after this time ...
@@ -58,20 +58,20 @@
     /// Nothing whole yet.
     Wait,
     /// A whole message, and when its first byte came.
-    Message(Head, Vec<u8>, Nanos),
+    Message(Head, Body, Nanos),
     Bad(Bad),
     /// The client has left.
     Gone,
 }
 
 impl Session {
-    pub fn new(socket: OwnedFd, now: Nanos, interest: EventFlags) -> Session {
+    pub fn new(socket: OwnedFd, now: Nanos, interest: EventFlags, budget: &Budget) -> Session {
         Session {
             socket,
             // An answer, its head, and a word of leave before it.
-            outbox: Ring::new(MOST_BODY + 2 * MOST_HEAD),
-            inbox: Ring::new(MOST_HEAD + 1024),
-            parser: Parser::requests(),
+            outbox: Ring::new(MOST_ANSWER + 2 * MOST_HEAD).on(budget),
+            inbox: Ring::new(MOST_HEAD + 1024).on(budget),
+            parser: Parser::requests().on(budget),
             phase: Phase::Open,
             req: None,
             keep_alive: true,
@@ -220,6 +220,7 @@
         Bad::HeadTooLarge => 431,
         Bad::BodyTooLarge => 413,
         Bad::Version => 505,
+        Bad::NoRoom => 503,
     }
 }
 
@@ -237,7 +238,7 @@
 /// A req on its way to a backend, as this protocol carries it.
 pub struct Call {
     head: Head,
-    body: Vec<u8>,
+    body: Body,
 }
 
 impl Call {
@@ -252,7 +253,7 @@
             .into_iter()
             .chain(headers)
             .chain([("x-remaining-ms", left.as_str()), ("via", "1.1 kitefork")]);
-        let body = (method != "GET" || !self.body.is_empty()).then_some(self.body.as_slice());
+        let body = (method != "GET" || !self.body.is_empty()).then_some(&*self.body);
         http1::write(&format!("{method} {target} HTTP/1.1"), headers, body)
     }
 }
@@ -267,7 +268,7 @@
 
 /// Reads what a message asks for. What is wrong with it is found here, before the decisions or a backend
 /// come to see it.
-pub fn route(head: Head, body: Vec<u8>, deployment: &Deployment, waited: Nanos) -> Route {
+pub fn route(head: Head, body: Body, deployment: &Deployment, waited: Nanos) -> Route {
     match ask(&head, deployment, waited) {
         Ok(Some(ask)) => Route::Req(ask, Call { head, body }),
         Ok(None) => Route::Health,
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -190,7 +190,7 @@
         let mut outbox = Ring::new(4096);
         let sent = outbox.push(&http1::write(&first, [("host", host.to_string().as_str())], None));
         debug_assert!(sent, "a call fits its ring");
-        let parser = Parser::responses().with_most_body(MOST_LIST);
+        let parser = Parser::responses().with_most_body(MOST_LIST).open_ended();
         Call {
             socket,
             watch,
@@ -237,7 +237,7 @@
         }
         if self.watch {
             while let Some(end) = self.parser.body.iter().position(|b| *b == b'\n') {
-                let line: Vec<u8> = self.parser.body.drain(..=end).collect();
+                let line = self.parser.body.split_front(end + 1);
                 // An empty line only says that discovery is there.
                 if !line.trim_ascii().is_empty() {
                     news.updates.push(Update::parse(&line)?);
--- a/node/src/http1.rs
+++ b/node/src/http1.rs
@@ -1,9 +1,15 @@
 //! HTTP/1.1 as bytes: a parser that is fed what has come, and a writer. No sockets, no clock. Strict where a
 //! lenient reader would let two parties see two different messages.
 
-/// Longest head, and longest body that a message may have.
+use crate::ring::{Body, Budget};
+
+/// Longest head, and longest bodies that a request and an answer may have. Answers have been seen that are
+/// several times as long as the 64 KiB of the protocol.
 pub const MOST_HEAD: usize = 16 * 1024;
 pub const MOST_BODY: usize = 64 * 1024;
+pub const MOST_ANSWER: usize = 2 * 1024 * 1024;
+/// Interim answers before one answer.
+const MOST_INTERIM: u32 = 16;
 const MOST_HEADERS: usize = 100;
 /// Longest line that gives a chunk's size; extensions are passed over.
 const MOST_CHUNK_LINE: usize = 256;
@@ -15,6 +21,8 @@
     HeadTooLarge,
     BodyTooLarge,
     Version,
+    /// The budget for what is buffered is spent.
+    NoRoom,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -86,25 +94,47 @@
     requests: bool,
     /// Longest body; a stream that is emptied as it comes has none.
     most_body: usize,
+    /// An answer may end with its connection.
+    open_ended: bool,
+    interim: u32,
     state: State,
     pub head: Option<Head>,
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 impl Parser {
     pub fn requests() -> Parser {
         let state = State::Head { scanned: 0 };
-        Parser { requests: true, most_body: MOST_BODY, state, head: None, body: Vec::new() }
+        Parser {
+            requests: true,
+            most_body: MOST_BODY,
+            open_ended: false,
+            interim: 0,
+            state,
+            head: None,
+            body: Body::default(),
+        }
     }
 
     pub fn responses() -> Parser {
-        Parser { requests: false, ..Parser::requests() }
+        Parser { requests: false, most_body: MOST_ANSWER, ..Parser::requests() }
     }
 
     pub fn with_most_body(self, most_body: usize) -> Parser {
         Parser { most_body, ..self }
     }
 
+    /// Takes an answer that ends with its connection too. A cut can't be told from its end, so this is only
+    /// for what shows by itself whether it is whole.
+    pub fn open_ended(self) -> Parser {
+        Parser { open_ended: true, ..self }
+    }
+
+    /// Bodies are counted on a budget.
+    pub fn on(self, budget: &Budget) -> Parser {
+        Parser { body: Body::on(budget), ..self }
+    }
+
     /// Takes what it can of `input`; tells how much, and stops at the end of a message.
     pub fn feed(&mut self, input: &[u8]) -> Result<usize, Bad> {
         let mut used = 0;
@@ -134,6 +164,10 @@
                     used += end;
                     // An interim answer is not the answer.
                     if matches!(head.start, Start::Response { status: 100..=199 }) {
+                        self.interim += 1;
+                        if self.interim > MOST_INTERIM {
+                            return Err(Bad::Malformed);
+                        }
                         self.state = State::Head { scanned: 0 };
                         continue;
                     }
@@ -194,8 +228,7 @@
         if self.body.len() + bytes.len() > self.most_body {
             return Err(Bad::BodyTooLarge);
         }
-        self.body.extend_from_slice(bytes);
-        Ok(())
+        if self.body.extend(bytes) { Ok(()) } else { Err(Bad::NoRoom) }
     }
 
     /// How the body is framed. Both length and chunks, lengths that differ, or codings other than chunks are
@@ -218,7 +251,8 @@
             }
             (None, None) => match head.start {
                 Start::Request { .. } | Start::Response { status: 204 | 304 } => Ok(State::Done),
-                Start::Response { .. } => Ok(State::UntilEnd),
+                Start::Response { .. } if self.open_ended => Ok(State::UntilEnd),
+                Start::Response { .. } => Err(Bad::Malformed),
             },
         }
     }
@@ -247,10 +281,10 @@
     }
 
     /// Hands out a whole message and starts on the next.
-    pub fn message(&mut self) -> Option<(Head, Vec<u8>)> {
+    pub fn message(&mut self) -> Option<(Head, Body)> {
         let head = if self.is_done() { self.head.take() } else { None }?;
-        self.state = State::Head { scanned: 0 };
-        Some((head, std::mem::take(&mut self.body)))
+        (self.state, self.interim) = (State::Head { scanned: 0 }, 0);
+        Some((head, self.body.take()))
     }
 }
 
@@ -365,7 +399,7 @@
                 let used = parser.feed(&held)?;
                 held.drain(..used);
             }
-            Ok(parser.message().map(|(head, body)| (head, String::from_utf8(body).unwrap())))
+            Ok(parser.message().map(|(head, body)| (head, String::from_utf8(body.to_vec()).unwrap())))
         };
         let (slow, fast) = (run(parser(), 1), run(parser(), input.len()));
         let plain = |found: &Result<Option<(Head, String)>, Bad>| match found {
@@ -393,8 +427,10 @@
              3;e=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n";
         let (head, body) = read(Parser::responses, chunked).unwrap().unwrap();
         assert_eq!((head.keep_alive, body.as_str()), (false, "abcde"));
-        let mut until_end = Parser::responses();
-        until_end.feed(b"HTTP/1.0 200 OK\r\n\r\nabc").unwrap();
+        let plain = b"HTTP/1.0 200 OK\r\n\r\nabc";
+        assert_eq!(Parser::responses().feed(plain), Err(Bad::Malformed));
+        let mut until_end = Parser::responses().open_ended();
+        until_end.feed(plain).unwrap();
         assert!(!until_end.is_done() && until_end.end());
         assert!(request("GET / HTTP/1.1\r\nHost: a\r\n").unwrap().is_none());
     }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -24,6 +24,7 @@
 use crate::log::Log;
 use crate::net;
 use crate::req::{Order, Reqs};
+use crate::ring::Budget;
 use crate::slots::Slots;
 use crate::wheel::Wheel;
 
@@ -74,6 +75,8 @@
     /// Readable when the node is to end, and when it is to read its configuration anew.
     signals: [UnixStream; 2],
     draining: bool,
+    /// For all that sessions and fetches hold in buffers.
+    budget: Budget,
     sessions: Slots<Session>,
     /// Sessions whose req has been answered: the answer is to be written, and the next message may be there.
     answered: VecDeque<u32>,
@@ -123,6 +126,7 @@
             accepting: true,
             signals,
             draining: false,
+            budget: Budget::new(config.memory_mb.max(4) * (1 << 20) / 4),
             // A session may end while its req's fetch is still out, so sessions need no more than their own.
             sessions: Slots::new(most_sessions),
             answered: VecDeque::new(),
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -7,6 +7,7 @@
 use crate::fetch::{self, Fetch, Job, Progress};
 use crate::http1;
 use crate::net;
+use crate::ring::Body;
 
 impl Node {
     pub(super) fn start_fetch(&mut self, backend: BackendId, job: Job, until: Nanos, write_by: Nanos) {
@@ -54,7 +55,7 @@
         let socket = socket.ok()?;
         let number = self.fetches.vacant()?;
         epoll::add(&self.epoll, &socket, token(FETCH, number), BOTH).ok()?;
-        self.fetches.insert(Fetch::new(socket, backend, BOTH))
+        self.fetches.insert(Fetch::new(socket, backend, BOTH, &self.budget))
     }
 
     /// Moves a fetch on as far as its socket lets it.
@@ -89,7 +90,7 @@
         }
     }
 
-    pub(super) fn answered(&mut self, number: u32, head: &http1::Head, body: Vec<u8>, reusable: bool) {
+    pub(super) fn answered(&mut self, number: u32, head: &http1::Head, body: Body, reusable: bool) {
         let Some(fetch) = self.fetches.get_mut(number) else { return };
         let (job, backend) = (fetch.job.take(), fetch.backend);
         // A backend that is leaving gets its connections closed.
@@ -114,7 +115,7 @@
         }
     }
 
-    pub(super) fn report(&mut self, job: Job, outcome: Outcome, answer: Option<(&http1::Head, Vec<u8>)>) {
+    pub(super) fn report(&mut self, job: Job, outcome: Outcome, answer: Option<(&http1::Head, Body)>) {
         match job {
             Job::Req { req, attempt } => {
                 let owner = self.reqs.ended(self.now, req, attempt, outcome);
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -54,7 +54,7 @@
         if let Err(error) = epoll::add(&self.epoll, &socket, token(SESSION, number), READ) {
             return self.log.line(self.now, "epoll-failed", error);
         }
-        self.sessions.insert(Session::new(socket, self.now, READ));
+        self.sessions.insert(Session::new(socket, self.now, READ, &self.budget));
         self.read_session(number);
     }
 
--- a/node/src/ring.rs
+++ b/node/src/ring.rs
@@ -1,14 +1,93 @@
 //! One ring buffer for each direction of a connection: starts small, grows to its cap, and gives its memory
 //! back when it has run empty.
 
+use std::cell::Cell;
+use std::ops::Deref;
 use std::os::fd::AsFd;
+use std::rc::Rc;
 
 use rustix::io::Errno;
 use rustix::net::{RecvFlags, SendFlags};
 
 const START: usize = 2 * 1024;
 
+/// Bytes that all buffers together may hold. Buffers count themselves; bodies that come are turned down while
+/// it is spent. Guards against memory that grows with connections times the worst that each can hold.
+#[derive(Clone)]
+pub struct Budget(Rc<Cell<isize>>);
+
+impl Default for Budget {
+    /// As good as none.
+    fn default() -> Budget {
+        Budget::new(isize::MAX as usize / 2)
+    }
+}
+
+impl Budget {
+    pub fn new(bytes: usize) -> Budget {
+        Budget(Rc::new(Cell::new(bytes as isize)))
+    }
+
+    pub fn is_spent(&self) -> bool {
+        self.0.get() <= 0
+    }
+
+    fn change(&self, before: usize, after: usize) {
+        self.0.set(self.0.get() + before as isize - after as isize);
+    }
+}
+
+/// A body on the budget.
+#[derive(Default)]
+pub struct Body {
+    bytes: Vec<u8>,
+    budget: Budget,
+}
+
+impl Body {
+    pub fn on(budget: &Budget) -> Body {
+        Body { bytes: Vec::new(), budget: budget.clone() }
+    }
+
+    /// Appends, unless the budget is spent.
+    #[must_use]
+    pub fn extend(&mut self, more: &[u8]) -> bool {
+        if self.budget.is_spent() && !more.is_empty() {
+            return false;
+        }
+        self.budget.change(0, more.len());
+        self.bytes.extend_from_slice(more);
+        true
+    }
+
+    /// The first `count` bytes, out of it.
+    pub fn split_front(&mut self, count: usize) -> Vec<u8> {
+        self.budget.change(count, 0);
+        self.bytes.drain(..count).collect()
+    }
+
+    /// All of it, which leaves it empty.
+    pub fn take(&mut self) -> Body {
+        Body { bytes: std::mem::take(&mut self.bytes), budget: self.budget.clone() }
+    }
+}
+
+impl Deref for Body {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        self.budget.change(self.bytes.len(), 0);
+    }
+}
+
 pub struct Ring {
+    budget: Budget,
     store: Vec<u8>,
     head: usize,
     len: usize,
@@ -30,7 +109,14 @@
 
 impl Ring {
     pub fn new(cap: usize) -> Ring {
-        Ring { store: Vec::new(), head: 0, len: 0, cap }
+        Ring { budget: Budget::default(), store: Vec::new(), head: 0, len: 0, cap }
+    }
+
+    /// Counted on a budget from here on. It is never turned down: what it holds is at most what has come in,
+    /// or is made of it.
+    pub fn on(mut self, budget: &Budget) -> Ring {
+        self.budget = budget.clone();
+        self
     }
 
     pub fn len(&self) -> usize {
@@ -50,6 +136,7 @@
         if wanted > self.store.len() {
             self.straighten();
             let size = wanted.next_power_of_two().max(START).min(self.cap);
+            self.budget.change(self.store.len(), size);
             self.store.resize(size, 0);
         }
         true
@@ -72,6 +159,7 @@
         self.len -= count;
         self.head = if self.len == 0 { 0 } else { (self.head + count) % self.store.len() };
         if self.len == 0 && self.store.len() > START {
+            self.budget.change(self.store.len(), 0);
             self.store = Vec::new();
         }
     }
@@ -128,6 +216,26 @@
     }
 }
 
+impl Drop for Ring {
+    fn drop(&mut self) {
+        self.budget.change(self.store.len(), 0);
+    }
+}
+
+#[test]
+fn what_is_held_is_counted_and_given_back() {
+    let budget = Budget::new(5000);
+    let (mut ring, mut body) = (Ring::new(9000).on(&budget), Body::on(&budget));
+    assert!(ring.push(&[0; 4000]) && body.extend(&[0; 1000]));
+    assert!(budget.is_spent() && !body.extend(&[0]));
+    ring.consume(4000);
+    assert!(body.extend(&[0; 4000]) && budget.is_spent());
+    let moved = body.take();
+    assert!(budget.is_spent());
+    drop((ring, body, moved));
+    assert_eq!(budget.0.get(), 5000);
+}
+
 #[test]
 fn keeps_order_round_the_end_and_holds_to_its_cap() {
     let mut ring = Ring::new(5000);
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -228,6 +228,23 @@
     backend.expect_end();
 }
 
+#[test]
+fn a_long_answer_passes_whole_and_an_endless_one_is_a_failure() {
+    let world = World::start();
+    let mut client = world.client();
+    let long = "y".repeat(400_000) + "end";
+    client.send(&report("u", 5000));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    backend.serve("200 OK", &long);
+    assert!(client.expect("yend").contains(&format!("content-length: {}\r\n", long.len())));
+    client.send(&report("v", 300));
+    backend.expect("body");
+    backend.send("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n");
+    backend.expect_end();
+    assert!(client.expect("\r\n\r\n").starts_with("HTTP/1.1 50"));
+}
+
 #[test]
 fn a_truncated_answer_never_looks_whole() {
     let world = World::start();
