Call off attempts that look lost and bound what silence takes from room

Node and sockets agree: in flight 4, all four written whole, some half answered, none closed by the backend. Checked: balance.rs split() divides room by (mean ratio x (1 + waited / spent))^2, and spent decays while waited grows; no attempt had a time limit but the req's own. Ruled out: ejections (none), descriptors, tokens (10.0). Now: waiting counts up to three times what answers took; an attempt over five times its due and a quarter of the aim is called off, counts as failed, pays a retry token and goes out anew.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -42,6 +42,11 @@
 const SPILL_LEAST: f64 = 0.05;
 /// Part by which room moves at an answer that is off by as much as the tolerance.
 const ROOM_GAIN: f64 = 0.2;
+/// Multiple of what it was to take by which an attempt is overdue, and part of the aim that it has at least.
+const OVERDUE: f64 = 5.0;
+const OVERDUE_AIM: f64 = 0.25;
+/// What attempts out have waited strains by at most this multiple of what answers took.
+const MOST_WAITED: f64 = 3.0;
 /// At most this share of the listed backends is ejected; beyond, ejection fails open.
 const MAX_EJECTED: f64 = 0.5;
 
@@ -369,6 +374,8 @@
                 server.room
             };
             if usable && server.done > 0.0 {
+                // A few silent connections must not outweigh all that is answered.
+                let waited = waited.min(MOST_WAITED * server.spent);
                 total = (total.0 + server.spent, total.1 + waited, total.2 + server.ratio, total.3 + 1.0);
             }
         }
@@ -698,9 +705,42 @@
         if open.attempts.len() == 1 && stats.mean > 0.0 && self.settings.limits.second_copies {
             self.agenda.insert((unusual.max(danger), Task::Look(id)));
         }
+        if !self.settings.limits.second_copies {
+            self.agenda.insert((now.saturating_add(self.overdue(id)), Task::Look(id)));
+        }
         true
     }
 
+    /// How long an attempt of a request may take before it looks lost.
+    fn overdue(&self, id: RequestId) -> Nanos {
+        let open = &self.open[&id];
+        let class = usize::from(open.request.class.0);
+        let hint = open.request.work_hint.unwrap_or(0) as f64;
+        let least = OVERDUE_AIM * self.settings.classes[class].aim as f64;
+        (OVERDUE * (self.classes[class].mean * SECOND + hint)).max(least) as Nanos
+    }
+
+    /// Calls off an attempt that looks lost, if another may go out and still make the aim. Guards against
+    /// connections that fall silent, which cost a request all its time. Harm: work is done twice where
+    /// backends are only slow; the storm limit bounds it.
+    fn call_off(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
+        let (open, limits) = (&self.open[&id], &self.settings.limits);
+        let class = usize::from(open.request.class.0);
+        let Some((place, last)) = open.attempts.iter().enumerate().next_back() else { return };
+        let once = match self.settings.classes[class].effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed { window, .. } => open.may_have_run().all(|a| now < a.sent.saturating_add(window)),
+        };
+        let more = limits.cancel && once && open.attempts.len() < limits.max_attempts as usize;
+        let overdue = now >= last.sent.saturating_add(self.overdue(id));
+        let timely = now.saturating_add((self.classes[class].mean * SECOND) as Nanos) < open.aim;
+        if more && overdue && timely && self.retry_tokens >= 1.0 {
+            self.retry_tokens -= 1.0;
+            actions.push(Action::Cancel { request: id, attempt: place as u8 });
+        }
+    }
+
     /// A moment set for a request has come: it was held, or its first attempt is slow.
     fn look(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.finished && !o.streaming) else { return };
@@ -712,6 +752,9 @@
             }
             return;
         }
+        if !self.settings.limits.second_copies {
+            return self.call_off(now, id, actions);
+        }
         let usual = self.classes[usize::from(open.request.class.0)].mean * SECOND;
         let timely = now + usual as Nanos <= open.aim;
         if !open.hedged && timely && self.waiting.is_empty() && self.retry_tokens >= 1.0 {
@@ -740,6 +783,8 @@
         let (backend, sent) = (done.backend, done.sent);
         let class = usize::from(open.request.class.0);
         let spent = latency as f64 / SECOND;
+        // Called off here as lost: the backend has failed it as by a time-out.
+        let lost = outcome == Outcome::Cancelled && !finished && !open.finished;
         self.out -= 1.0;
         if let Some(server) = self.servers.get_mut(&backend) {
             server.out -= 1.0;
@@ -770,8 +815,10 @@
             stats.mean += gain * (spent - stats.mean);
             stats.base = if stats.seen < SAMPLES { stats.mean } else { stats.base.min(stats.mean) };
         }
-        self.adjust_room(backend, class, spent, outcome);
-        if matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::Timeout) {
+        self.adjust_room(backend, class, spent, if lost { Outcome::Timeout } else { outcome });
+        let failed =
+            matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::Timeout);
+        if failed || lost {
             self.on_failure(now, backend, actions);
         }
         let open = self.open.get_mut(&id).expect("held");
@@ -787,7 +834,8 @@
             let barred = effect == Effect::Unsafe && open.may_have_run().next().is_some()
                 || outcome == Outcome::Rejected;
             let more = !barred && open.attempts.len() < self.settings.limits.max_attempts as usize;
-            let free = outcome == Outcome::ConnectFailed;
+            // What was lost has paid already.
+            let free = lost || outcome == Outcome::ConnectFailed;
             let give_up = self.give_up(id);
             if now < give_up && more && (free || self.retry_tokens >= 1.0) {
                 self.retry_tokens -= if free { 0.0 } else { 1.0 };
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -372,6 +372,44 @@
     assert!(feed.serve(400, |_| 10 * MS)[&BackendId(1)] > 40);
 }
 
+#[test]
+fn an_attempt_that_looks_lost_is_called_off_and_goes_out_anew() {
+    for (class, again) in [(0, true), (2, true), (3, false)] {
+        let mut settings = settings();
+        settings.limits.second_copies = false;
+        let mut feed = Feed::new(settings, (1..=4).map(backend).collect());
+        feed.serve(40, |_| 10 * MS);
+        let (id, _) = feed.ask(class);
+        let early = feed.wait(90 * MS);
+        let late = feed.wait(20 * MS);
+        let off = Action::Cancel { request: id, attempt: 0 };
+        assert!(!early.contains(&off));
+        assert_eq!(late.contains(&off), again);
+        assert_eq!(sends(&feed.end(id, 0, Outcome::Cancelled)).len(), usize::from(again));
+    }
+}
+
+#[test]
+fn a_few_silent_attempts_do_not_close_all_room() {
+    let mut settings = settings();
+    (settings.limits.second_copies, settings.limits.cancel) = (false, false);
+    let mut feed = Feed::new(settings, (1..=8).map(backend).collect());
+    feed.serve(400, |_| 2 * MS);
+    for _ in 0..4 {
+        feed.ask(0);
+    }
+    let mut sent = 0;
+    for _ in 0..100 {
+        feed.wait(4 * MS);
+        let (id, actions) = feed.ask(0);
+        sent += sends(&actions).len();
+        if feed.sent.contains_key(&id) {
+            feed.end(id, 0, Outcome::Ok);
+        }
+    }
+    assert!(sent > 90, "{sent} of 100 are sent while four are silent");
+}
+
 #[test]
 fn faulty_requests_neither_eject_a_backend_nor_go_out_again() {
     let mut feed = Feed::new(settings(), (1..=4).map(backend).collect());
