Keep room open under silence: lost attempts leave it alone, each zone has its usual latency

The trace shows the two backends of the far zone at 4 to 5 times the usual latency from the first second on, room 0.5 each, and that ratio in every strain; and every called-off attempt shrinking its backend's room though the backend was well. One silent attempt of a req past its aim was not called off and, with room under 1, held all others: out=1 room=0.4 waiting=479. Checked: adjust_room() measured each backend by one class.base over all zones; the way there, 6 to 10 ms, does not shrink with the work of 1.5 ms. call_off() asked for the aim. Ruled out: ejections, tokens (10.0), descriptors.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -62,6 +62,14 @@
     }
 }
 
+impl Latency {
+    fn add(&mut self, spent: f64) {
+        self.seen = (self.seen + 1.0).min(SAMPLES);
+        self.mean += (spent - self.mean) / self.seen;
+        self.base = if self.seen < SAMPLES { self.mean } else { self.base.min(self.mean) };
+    }
+}
+
 impl Pool {
     /// Mean latency over the usual one, leaning to 1.
     fn mean(&self) -> f64 {
@@ -316,7 +324,9 @@
         }
         for class in &mut self.classes {
             // The best of times is forgotten slowly, should the work itself grow.
-            class.base = (class.base * (1.0 + step / (100.0 * self.longest_aim))).min(class.mean);
+            for kept in class.zones.values_mut().chain([&mut class.all]) {
+                kept.base = (kept.base * (1.0 + step / (100.0 * self.longest_aim))).min(kept.mean);
+            }
         }
         self.refreshed = now;
     }
@@ -574,7 +584,14 @@
 
     /// Moves a backend's room so that its mean latency, over that of the best of times, nears TOLERANCE.
     fn adjust_room(&mut self, id: BackendId, class: usize, spent: f64, outcome: Outcome) {
-        let ratio = spent / self.classes[class].base.max(1e-9);
+        let Some(server) = self.servers.get(&id) else { return };
+        // The way to a zone is no crowd there: it counts among what is usual.
+        let zone = self.classes[class].zones.entry(server.entry.zone).or_default();
+        if outcome == Outcome::Ok {
+            zone.add(spent);
+        }
+        let base = if zone.seen < SAMPLES { self.classes[class].all.base } else { zone.base };
+        let ratio = spent / base.max(1e-9);
         let ratio = match outcome {
             Outcome::Ok => ratio,
             Outcome::Timeout | Outcome::Full => ratio.max(2.0 * TOLERANCE),
@@ -598,7 +615,7 @@
     fn rank(&mut self, request: &Request) -> (u64, u64) {
         let class = usize::from(request.class.0);
         let settings = &self.settings.classes[class];
-        let work = if self.settings.worth_by_work { 1.0 } else { self.classes[class].base.max(1e-3) };
+        let work = if self.settings.worth_by_work { 1.0 } else { self.classes[class].all.base.max(1e-3) };
         let mut value = settings.worth / work;
         if let Some(tokens) = self.quota.get_mut(usize::from(request.tenant.0)) {
             if *tokens >= 1.0 {
@@ -657,7 +674,7 @@
         let deadline = now.saturating_add(request.patience);
         let aim = now.saturating_add(class.aim).saturating_add(stretch as Nanos).min(deadline);
         // By Little's law, what is asked and its latency tell how much must be out at a time.
-        self.asked += if request.client_retry { 0.0 } else { self.classes[class_place].base };
+        self.asked += if request.client_retry { 0.0 } else { self.classes[class_place].all.base };
         let rank = self.rank(&request);
         let (finished, streaming, hedged, attempts) = (false, false, false, Vec::new());
         let open = Open { request, deadline, aim, attempts, finished, streaming, hedged, rank };
@@ -673,7 +690,7 @@
         // Where misses are counted apart, a refusal within the aim is none, and a late answer is one.
         let late = self.settings.classes[class].late_worth > 0.0 && self.settings.tail == 0.0;
         let end = if late { open.deadline } else { open.aim };
-        let usual = (self.classes[class].base * SECOND) as Nanos;
+        let usual = (self.classes[class].all.base * SECOND) as Nanos;
         end.saturating_sub(usual.min(self.settings.classes[class].aim / 2) + self.settings.tick)
     }
 
@@ -700,9 +717,9 @@
         actions.push(Action::Send { request: id, backend, until });
         let stats = &self.classes[usize::from(open.request.class.0)];
         // A second copy is for answers that are unusually late, and only when the aim is in danger.
-        let unusual = now + ((stats.mean + 2.0 * stats.dev) * SECOND) as Nanos + self.settings.tick;
-        let danger = open.aim.saturating_sub((2.0 * stats.mean * SECOND) as Nanos);
-        if open.attempts.len() == 1 && stats.mean > 0.0 && self.settings.limits.second_copies {
+        let unusual = now + ((stats.all.mean + 2.0 * stats.dev) * SECOND) as Nanos + self.settings.tick;
+        let danger = open.aim.saturating_sub((2.0 * stats.all.mean * SECOND) as Nanos);
+        if open.attempts.len() == 1 && stats.all.mean > 0.0 && self.settings.limits.second_copies {
             self.agenda.insert((unusual.max(danger), Task::Look(id)));
         }
         if !self.settings.limits.second_copies {
@@ -717,10 +734,10 @@
         let class = usize::from(open.request.class.0);
         let hint = open.request.work_hint.unwrap_or(0) as f64;
         let least = OVERDUE_AIM * self.settings.classes[class].aim as f64;
-        (OVERDUE * (self.classes[class].mean * SECOND + hint)).max(least) as Nanos
+        (OVERDUE * (self.classes[class].all.mean * SECOND + hint)).max(least) as Nanos
     }
 
-    /// Calls off an attempt that looks lost, if another may go out and still make the aim. Guards against
+    /// Calls off an attempt that looks lost, if another may go out in time. Guards against
     /// connections that fall silent, which cost a request all its time. Harm: work is done twice where
     /// backends are only slow; the storm limit bounds it.
     fn call_off(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
@@ -734,8 +751,7 @@
         };
         let more = limits.cancel && once && open.attempts.len() < limits.max_attempts as usize;
         let overdue = now >= last.sent.saturating_add(self.overdue(id));
-        let timely = now.saturating_add((self.classes[class].mean * SECOND) as Nanos) < open.aim;
-        if more && overdue && timely && self.retry_tokens >= 1.0 {
+        if more && overdue && now < self.give_up(id) && self.retry_tokens >= 1.0 {
             self.retry_tokens -= 1.0;
             actions.push(Action::Cancel { request: id, attempt: place as u8 });
         }
@@ -755,7 +771,7 @@
         if !self.settings.limits.second_copies {
             return self.call_off(now, id, actions);
         }
-        let usual = self.classes[usize::from(open.request.class.0)].mean * SECOND;
+        let usual = self.classes[usize::from(open.request.class.0)].all.mean * SECOND;
         let timely = now + usual as Nanos <= open.aim;
         if !open.hedged && timely && self.waiting.is_empty() && self.retry_tokens >= 1.0 {
             open.hedged = true;
@@ -797,7 +813,7 @@
                 let pool = self.kinds.entry(server.entry.kind).or_default();
                 let keep = 1.0 - 1.0 / SAMPLES;
                 pool.done = pool.done * keep + 1.0;
-                let mean = self.classes[class].mean;
+                let mean = self.classes[class].all.mean;
                 pool.spent = pool.spent * keep + if mean > 0.0 { spent / mean } else { 1.0 };
                 if server.done > 0.5 * MEMORY {
                     server.ejections = 0;
@@ -809,13 +825,10 @@
         }
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
             let stats = &mut self.classes[class];
-            stats.seen = (stats.seen + 1.0).min(SAMPLES);
-            let gain = 1.0 / stats.seen;
-            stats.dev += gain * ((spent - stats.mean).abs() - stats.dev);
-            stats.mean += gain * (spent - stats.mean);
-            stats.base = if stats.seen < SAMPLES { stats.mean } else { stats.base.min(stats.mean) };
+            stats.all.add(spent);
+            stats.dev += ((spent - stats.all.mean).abs() - stats.dev) / stats.all.seen;
         }
-        self.adjust_room(backend, class, spent, if lost { Outcome::Timeout } else { outcome });
+        self.adjust_room(backend, class, spent, outcome);
         let failed =
             matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::Timeout);
         if failed || lost {
--- a/src/balance_tests.rs
+++ b/src/balance_tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the split against shares worked out by hand.
 
-use super::shares;
+use super::{Balancer, SAMPLES, shares};
+use crate::interface::*;
 
 fn near(found: &[f64], wanted: &[f64]) {
     assert!(found.iter().zip(wanted).all(|(a, b)| (a - b).abs() < 1e-9), "{found:?} {wanted:?}");
@@ -18,3 +19,20 @@
     let sum: f64 = shares(0.7, &[0.3, 0.2, 0.5, 0.05]).iter().sum();
     near(&[sum], &[1.0]);
 }
+
+#[test]
+fn a_long_way_to_a_zone_is_no_crowd_there() {
+    let class = Class { aim: 300_000_000, deadline: 900_000_000, ..Class::default() };
+    let mut balancer = Balancer::new(Settings { classes: vec![class], ..Settings::default() }, 7, 0).unwrap();
+    let state = BackendState::Ready;
+    let backend = |id| Backend { id: BackendId(id), zone: ZoneId(id as u16), state, ..Backend::default() };
+    let list = Event::List { kind: ListKind::Full, backends: vec![backend(0), backend(1)] };
+    balancer.handle(1, list, &mut Vec::new());
+    for _ in 0..2 * SAMPLES as usize {
+        for (id, spent) in [(0, 0.002), (1, 0.012)] {
+            balancer.classes[0].all.add(spent);
+            balancer.adjust_room(BackendId(id), 0, spent, Outcome::Ok);
+        }
+    }
+    assert!(balancer.servers.values().all(|server| server.ratio < 1.1));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,7 @@
 //! The types that the decisions keep: data only, no decision is made here.
 
+use std::collections::BTreeMap;
+
 use crate::interface::*;
 
 /// A moment set for later.
@@ -73,14 +75,23 @@
     pub(crate) spent: f64,
 }
 
-/// What is known of a class.
+/// Latencies, in seconds.
 #[derive(Clone, Default)]
-pub(crate) struct ClassStats {
-    /// Moving mean and deviation of latencies, seconds.
+pub(crate) struct Latency {
+    /// Their moving mean.
     pub(crate) mean: f64,
-    pub(crate) dev: f64,
-    /// Latencies in them, up to their memory.
+    /// How many are in it, up to its memory.
     pub(crate) seen: f64,
-    /// Mean latency in the best of times.
+    /// Their mean in the best of times.
     pub(crate) base: f64,
 }
+
+/// What is known of a class.
+#[derive(Clone, Default)]
+pub(crate) struct ClassStats {
+    pub(crate) all: Latency,
+    /// Moving deviation from their mean.
+    pub(crate) dev: f64,
+    /// Those of each zone's backends.
+    pub(crate) zones: BTreeMap<ZoneId, Latency>,
+}
