End silent clients and half requests within 3 s; forget gone backends; free descriptors

Seen: client.rs gave silent clients 75 s and half requests 10 s, where 3 s from connecting are owed; sessions that asked once stayed 75 s. Now: 2.5 s for a first head from connecting, 2 s without a byte of a body, 10 s in all, idle 10 s; when sessions run out, idle, then ending, then unfinished ones go; 16 descriptors a megabyte, as bodies are on the budget; backends gone for 60 s lose their number.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -12,9 +12,14 @@
 use crate::ring::{Body, Budget, Read, Ring};
 use crate::wheel::Deadline;
 
-/// A session without a req ends after this time ...
-const IDLE: Nanos = 75 * SECOND;
-/// ... one that has sent a part of a message, or does not read its answer, after this ...
+/// A session that has never asked, or whose head is not whole, ends after this time: it may be one of
+/// hundreds that will never say more. For a first message it counts from the connection's start ...
+const HEAD: Nanos = 2_500 * MS;
+/// ... one whose body does not go on after this; a slow but honest one does ...
+const PAUSE: Nanos = 2 * SECOND;
+/// ... one that is done with a req and asks nothing more after this ...
+const IDLE: Nanos = 10 * SECOND;
+/// ... one that is not through with a body, or does not read its answer, after this ...
 const STALL: Nanos = 10 * SECOND;
 /// ... and one whose last answer is written after this.
 const LINGER: Nanos = SECOND;
@@ -49,6 +54,10 @@
     /// When it came to its present state: every time limit on a client counts from here, so that a client
     /// which sends or reads a byte now and then does not stay for ever.
     since: Nanos,
+    /// When the last byte came.
+    heard: Nanos,
+    /// It has had a whole message.
+    has_asked: bool,
     pub deadline: Deadline,
     pub interest: EventFlags,
 }
@@ -78,26 +87,44 @@
             began: None,
             leave_given: false,
             since: now,
+            heard: now,
+            has_asked: false,
             deadline: Deadline::new(),
             interest,
         }
     }
 
-    pub fn since(&self) -> Nanos {
-        self.since
-    }
-
     /// When it has taken too long over its present state.
     pub fn time_limit(&self) -> Nanos {
         let span = match self.phase {
             Phase::Lingering => LINGER,
             Phase::Open if self.req.is_some() => return Deadline::NEVER,
-            Phase::Open if self.is_idle() => IDLE,
+            Phase::Open if self.is_idle() => {
+                if self.has_asked {
+                    IDLE
+                } else {
+                    HEAD
+                }
+            }
+            Phase::Open if self.outbox.is_empty() && self.parser.head.is_none() => HEAD,
+            Phase::Open if self.outbox.is_empty() => return (self.since + STALL).min(self.heard + PAUSE),
             Phase::Open | Phase::Closing => STALL,
         };
         self.since.saturating_add(span)
     }
 
+    /// How readily its descriptor is given up for a new client: least first, the oldest of equals first.
+    /// `None`: not at all, as it waits for a req or an answer is on its way.
+    pub fn spare(&self) -> Option<(u8, Nanos)> {
+        let free = self.req.is_none() && self.outbox.is_empty();
+        let class = match self.phase {
+            Phase::Open if self.is_idle() => 0,
+            Phase::Lingering => 1,
+            Phase::Open | Phase::Closing => 2,
+        };
+        free.then_some((class, self.since))
+    }
+
     /// Writes what it can; `false`: the connection has broken.
     pub fn flush(&mut self, now: Nanos) -> bool {
         if self.outbox.write_to(&self.socket).is_err() {
@@ -145,7 +172,7 @@
                     self.inbox.consume(count);
                     return Intake::Wait;
                 }
-                Read::Some => {}
+                Read::Some => self.heard = now,
                 Read::Dry | Read::Full => return Intake::Wait,
                 Read::End | Read::Broken => return Intake::Gone,
             }
@@ -157,7 +184,8 @@
             return None;
         }
         if self.began.is_none() {
-            (self.began, self.since) = (Some(now), now);
+            self.began = Some(now);
+            self.since = if self.has_asked { now } else { self.since };
         }
         let used = match self.parser.feed(self.inbox.bytes()) {
             Ok(used) => used,
@@ -175,7 +203,7 @@
             self.began = None;
         }
         let (head, body) = self.parser.message()?;
-        self.keep_alive = head.keep_alive;
+        (self.keep_alive, self.has_asked) = (head.keep_alive, true);
         self.leave_given = false;
         Some(Intake::Message(head, body, self.began.take().unwrap_or(now)))
     }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -8,7 +8,7 @@
 use kitefork::{Backend, BackendId, BackendState, CellId, Event, KindId, ListKind, Nanos, ZoneId};
 use kitefork_settings::json::{Fault, Place, Tree};
 
-use crate::clock::{Clock, MS};
+use crate::clock::{Clock, MS, SECOND};
 use crate::http1::{self, Parser, Start};
 use crate::ring::{Read, Ring};
 use crate::wheel::Deadline;
@@ -20,6 +20,11 @@
 /// A connection to discovery that is not up by then is cut off too; asking anew finds the way back sooner
 /// than TCP's own repeats.
 pub const CONNECT: Nanos = 1_000 * MS;
+/// A backend that is gone is remembered for this long: lists that are behind may name it once more, and what
+/// is known of it should then still count. No fetch to it is out for as long.
+const REMEMBERED: Nanos = 60 * SECOND;
+/// More names of zones or kinds than this are not told apart.
+const MOST_NAMES: usize = 1_000;
 /// Longest line or list that is read.
 const MOST_LIST: usize = 4 << 20;
 
@@ -88,48 +93,67 @@
 
 /// The backends as last told.
 pub struct Fleet {
-    /// Numbers that the decisions know backends by; a uid keeps its number for the life of the node.
+    /// Numbers that the decisions know backends by. A uid keeps its number until it is forgotten; no number
+    /// is given twice.
     ids: HashMap<String, BackendId>,
+    next: u32,
     zones: Vec<String>,
     kinds: Vec<String>,
-    members: HashMap<BackendId, (Option<SocketAddr>, BackendState)>,
+    members: HashMap<BackendId, Member>,
+}
+
+struct Member {
+    endpoint: Option<SocketAddr>,
+    state: BackendState,
+    /// When a list last said something new of it.
+    told: Nanos,
 }
 
 impl Fleet {
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Fleet {
-        Fleet { ids: HashMap::new(), zones, kinds, members: HashMap::new() }
+        Fleet { ids: HashMap::new(), next: 0, zones, kinds, members: HashMap::new() }
     }
 
     /// Where a backend listens, if it may be sent to.
     pub fn endpoint(&self, id: BackendId) -> Option<SocketAddr> {
-        self.members.get(&id).filter(|m| m.1 == BackendState::Ready)?.0
+        self.members.get(&id).filter(|m| m.state == BackendState::Ready)?.endpoint
     }
 
     pub fn has_ready(&self) -> bool {
-        self.members.values().any(|member| member.1 == BackendState::Ready)
+        self.members.values().any(|member| member.state == BackendState::Ready)
     }
 
     /// Takes an update; gives the event for the decisions and the backends to which connections must end:
     /// those that are leaving and those that have moved.
-    pub fn apply(&mut self, clock: &Clock, update: &Update, cached: bool) -> (Event, Vec<BackendId>) {
+    pub fn apply(
+        &mut self,
+        now: Nanos,
+        clock: &Clock,
+        update: &Update,
+        cached: bool,
+    ) -> (Event, Vec<BackendId>) {
         let mut ends = Vec::new();
         let backends: Vec<Backend> = update.entries.iter().map(|entry| self.backend(clock, entry)).collect();
         if update.all {
             let listed: Vec<BackendId> = backends.iter().map(|b| b.id).collect();
             for (id, member) in self.members.iter_mut().filter(|m| !listed.contains(m.0)) {
-                if member.1 != BackendState::Gone {
+                if member.state != BackendState::Gone {
                     ends.push(*id);
+                    (member.state, member.told) = (BackendState::Gone, now);
                 }
-                member.1 = BackendState::Gone;
             }
         }
         for (entry, backend) in update.entries.iter().zip(&backends) {
-            let before = self.members.insert(backend.id, (entry.endpoint, backend.state));
-            let moved = before.is_some_and(|(endpoint, _)| endpoint != entry.endpoint);
+            let (endpoint, state) = (entry.endpoint, backend.state);
+            let before = self.members.insert(backend.id, Member { endpoint, state, told: now });
+            let moved = before.is_some_and(|before| before.endpoint != endpoint);
             if moved || backend.state != BackendState::Ready {
                 ends.push(backend.id);
             }
         }
+        // Uids are new for ever on a day of releases.
+        self.members.retain(|_, m| m.state != BackendState::Gone || now < m.told.saturating_add(REMEMBERED));
+        self.ids.retain(|_, id| self.members.contains_key(id));
         let kind = match (cached, update.all) {
             (true, _) => ListKind::Cached,
             (_, true) => ListKind::Full,
@@ -139,9 +163,10 @@
     }
 
     fn backend(&mut self, clock: &Clock, entry: &Entry) -> Backend {
-        let next = BackendId(self.ids.len() as u32);
+        let id = *self.ids.entry(entry.uid.clone()).or_insert(BackendId(self.next));
+        self.next += u32::from(id.0 == self.next);
         Backend {
-            id: *self.ids.entry(entry.uid.clone()).or_insert(next),
+            id,
             zone: ZoneId(place(&mut self.zones, &entry.zone)),
             cell: CellId(entry.cell),
             kind: KindId(place(&mut self.kinds, &entry.kind)),
@@ -157,7 +182,9 @@
 fn place(names: &mut Vec<String>, name: &str) -> u16 {
     let found = names.iter().position(|known| known == name);
     found.unwrap_or_else(|| {
-        names.push(name.to_string());
+        if names.len() < MOST_NAMES {
+            names.push(name.to_string());
+        }
         names.len() - 1
     }) as u16
 }
@@ -282,20 +309,39 @@
     fn a_uid_keeps_its_number_and_connections_end_where_a_backend_leaves_or_moves() {
         let (clock, mut fleet) = (Clock::start(), Fleet::new(vec![], vec![]));
         let (event, ends) = fleet.apply(
+            0,
             &clock,
             &update(true, &[("a", 1, "Ready"), ("b", 2, "Ready"), ("c", 3, "Ready")]),
             true,
         );
         assert_eq!((ids(event), ends), (vec![0, 1, 2], vec![]));
         let (event, ends) =
-            fleet.apply(&clock, &update(false, &[("b", 9, "Ready"), ("c", 3, "Terminating")]), false);
+            fleet.apply(0, &clock, &update(false, &[("b", 9, "Ready"), ("c", 3, "Terminating")]), false);
         assert_eq!((ids(event), ends), (vec![1, 2], vec![BackendId(1), BackendId(2)]));
         assert_eq!(fleet.endpoint(BackendId(1)).unwrap().port(), 9);
         assert_eq!(fleet.endpoint(BackendId(2)), None);
-        let (_, ends) = fleet.apply(&clock, &update(true, &[("b", 9, "Ready")]), false);
+        let (_, ends) = fleet.apply(0, &clock, &update(true, &[("b", 9, "Ready")]), false);
         assert!(ends.contains(&BackendId(0)) && fleet.has_ready());
     }
 
+    #[test]
+    fn a_day_of_new_uids_is_forgotten_again_and_no_number_is_given_twice() {
+        let (clock, mut fleet) = (Clock::start(), Fleet::new(vec![], vec![]));
+        let mut numbers = Vec::new();
+        for turn in 0..1000 {
+            let uid = format!("s-{turn}");
+            let (event, _) = fleet.apply(turn * SECOND, &clock, &update(true, &[(&uid, 1, "Ready")]), false);
+            numbers.extend(ids(event));
+            assert!(fleet.members.len() <= 62 && fleet.ids.len() == fleet.members.len());
+        }
+        numbers.dedup();
+        assert!(numbers.is_sorted() && numbers.len() == 1000);
+        // One that comes back soon is the same, one that comes back late is new.
+        let mut again =
+            |uid| ids(fleet.apply(1000 * SECOND, &clock, &update(true, &[(uid, 1, "Ready")]), false).0);
+        assert_eq!((again("s-990"), again("s-3")), (vec![990], vec![1000]));
+    }
+
     #[test]
     fn a_faulty_line_is_named_and_not_half_taken() {
         for text in [
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -99,9 +99,9 @@
         let tick = settings.tick.clamp(MS, 10 * MS);
         let own = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let sockets = own.map_or(config.sockets, |own| config.sockets.min(own as usize));
-        // Five parts for clients, two for backends, one for the rest. At worst a connection holds a body, a
-        // message on its way out and a head, under 180 KiB: seven eighths of six a megabyte fit in.
-        let sockets = sockets.min(config.memory_mb.saturating_mul(6)).max(64);
+        // Five parts for clients, two for backends, one for the rest. Bodies are on the budget; what a
+        // connection holds beside them is a head at most, of which these fit a third of the memory.
+        let sockets = sockets.min(config.memory_mb.saturating_mul(16)).max(64);
         let (most_sessions, most_fetches) = (sockets * 5 / 8, sockets / 4);
         let most_reqs = most_sessions.min(deployment.most_held).max(1);
         let reqs = Reqs::new(settings, config.seed, most_reqs, now).map_err(|e| e.to_string())?;
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -104,7 +104,7 @@
 
     pub(super) fn take_update(&mut self, update: &Update, cached: bool) {
         self.rev = update.rev;
-        let (event, ends) = self.fleet.apply(&self.clock, update, cached);
+        let (event, ends) = self.fleet.apply(self.now, &self.clock, update, cached);
         self.reqs.feed(self.now, event);
         for backend in ends {
             self.close_idle(backend);
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -58,11 +58,10 @@
         self.read_session(number);
     }
 
-    /// Closes the session that has been idle for longest; tells whether there was one.
+    /// Closes the session that can be spared most, idle ones first; tells whether there was one.
     pub(super) fn close_oldest_session(&mut self) -> bool {
-        let idle = self.sessions.iter().filter(|(_, session)| session.is_idle());
-        let oldest = idle.min_by_key(|(_, session)| session.since()).map(|(number, _)| number);
-        oldest.is_some_and(|number| self.close_session(number))
+        let spare = self.sessions.iter().filter_map(|(number, session)| Some((session.spare()?, number)));
+        spare.min().is_some_and(|(_, number)| self.close_session(number))
     }
 
     /// Closes a session; a req that it waits for has lost its client.
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -139,6 +139,30 @@
     }
 }
 
+#[test]
+fn silent_clients_and_half_requests_are_gone_within_three_seconds_and_slow_bodies_are_served() {
+    let world = World::start();
+    let request = report("w", 9000);
+    let (head, body) = request.split_at(request.len() - 4);
+    let since = std::time::Instant::now();
+    let (mut silent, mut half, mut bodiless, mut slow) =
+        (world.client(), world.client(), world.client(), world.client());
+    half.send(&head[..40]);
+    bodiless.send(head);
+    slow.send(head);
+    // A byte at a time, each well before the pause that counts as an end; all in all it takes longer.
+    for byte in body[..3].bytes() {
+        std::thread::sleep(std::time::Duration::from_millis(900));
+        slow.send(&char::from(byte).to_string());
+    }
+    assert!(half.expect_end().starts_with("HTTP/1.1 408 "));
+    assert!(bodiless.expect_end().starts_with("HTTP/1.1 408 "));
+    assert_eq!(silent.expect_end(), "");
+    assert!(since.elapsed().as_secs() < 4, "{:?}", since.elapsed());
+    slow.send(&body[3..]);
+    world.backend.wait().expect("\r\n\r\nbody");
+}
+
 #[test]
 fn when_sessions_run_out_the_one_idle_for_longest_closes() {
     let world = World::start();
