Hold descriptors in one ledger, and let go of clients that ask once and stay

Seen with a probe of the sessions at both nodes: from 2.5 s on, clients ask once and keep their connection for good. The node held 152 to 218 of its 240 sessions meanwhile and closed none, as it looked for room only when a new client came, and none could. It ended when silent clients had filled the table. Ruled out: accept queues (empty throughout), overflows and drops of the kernel (none), restarts (served after 0.02 s; connections after SIGTERM all answered).

Change: sessions that have asked hold a quarter of the descriptors at most while some can be missed; looked at every 10 ms, oldest once-askers first. The fixed split of 5/8 and 2/8 becomes a ledger with a reserve for each side; what is idle on one serves the other. An attempt without a descriptor is moot instead of a failed connect, which ejected sound backends.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -26,8 +26,12 @@
 /// Where descriptors are short, a client that has not asked, or not again, by then is among the first to go
 /// ...
 const FIRST: Nanos = 50 * MS;
+/// Where many are held, it is looked this often whether some that can go are due.
+pub const TRIM: Nanos = FIRST / 5;
 /// ... and one that has come back keeps its connection for this long before it is among those to go.
 const KEPT: Nanos = 2 * SECOND;
+/// Up to this class of `spare`, a session is hardly missed: its client has not come back, or not lately.
+pub const HARDLY_MISSED: u8 = 2;
 /// Paths that clients may ask for.
 const API: &str = "/api";
 const HEALTH: &str = "/_health";
@@ -152,6 +156,11 @@
         true
     }
 
+    /// It has had a whole message.
+    pub fn has_asked(&self) -> bool {
+        self.asked > 0
+    }
+
     /// It stands between two messages.
     pub fn is_idle(&self) -> bool {
         let still = self.inbox.is_empty() && self.outbox.is_empty() && self.began.is_none();
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod fetch;
 mod http1;
+mod ledger;
 mod log;
 mod net;
 mod node;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -21,6 +21,7 @@
 use crate::config::Config;
 use crate::discovery::{Call, Fleet};
 use crate::fetch::{Fetch, Job, Pool};
+use crate::ledger::{Ledger, Purpose};
 use crate::log::Log;
 use crate::net;
 use crate::req::{Order, Reqs};
@@ -40,6 +41,7 @@
     Call(u32),
     Timer(TimerId),
     Accept,
+    TrimSessions,
     StopAccepting,
     EndDrain,
 }
@@ -77,6 +79,10 @@
     draining: bool,
     /// For all that sessions and fetches hold in buffers.
     budget: Budget,
+    /// For all that sessions and fetches hold in descriptors.
+    ledger: Ledger,
+    /// A look at how many sessions have asked hangs on the wheel.
+    trimming: bool,
     sessions: Slots<Session>,
     /// Sessions whose req has been answered: the answer is to be written, and the next message may be there.
     answered: VecDeque<u32>,
@@ -99,10 +105,11 @@
         let tick = settings.tick.clamp(MS, 10 * MS);
         let own = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let sockets = own.map_or(config.sockets, |own| config.sockets.min(own as usize));
-        // Five parts for clients, two for backends, one for the rest. Bodies are on the budget; what a
-        // connection holds beside them is a head at most, of which these fit a third of the memory.
+        // Bodies are on the budget; what a connection holds beside them is a head at most, of which these fit
+        // a third of the memory.
         let sockets = sockets.min(config.memory_mb.saturating_mul(16)).max(64);
-        let (most_sessions, most_fetches) = (sockets * 5 / 8, sockets / 4);
+        let ledger = Ledger::new(sockets);
+        let (most_sessions, most_fetches) = (ledger.most(Purpose::Session), ledger.most(Purpose::Fetch));
         let most_reqs = most_sessions.min(deployment.most_held).max(1);
         let reqs = Reqs::new(settings, config.seed, most_reqs, now).map_err(|e| e.to_string())?;
         let wrong = |what: &'static str| move |e: Errno| format!("{what}: {e}");
@@ -127,7 +134,8 @@
             signals,
             draining: false,
             budget: Budget::new(config.memory_mb.max(4) * (1 << 20) / 4),
-            // A session may end while its req's fetch is still out, so sessions need no more than their own.
+            ledger,
+            trimming: false,
             sessions: Slots::new(most_sessions),
             answered: VecDeque::new(),
             fetches: Slots::new(most_fetches),
@@ -213,6 +221,7 @@
                 self.set_accepting(true);
                 self.accept();
             }
+            Due::TrimSessions => self.trim_sessions(),
             Due::StopAccepting => self.stop_accepting(),
             Due::EndDrain => self.end_drain(),
         }
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -2,10 +2,13 @@
 
 use kitefork::{BackendId, Event, Nanos, Outcome};
 use rustix::event::epoll;
+use rustix::io::Errno;
 
 use super::{BOTH, Due, FETCH, Node, READ, token};
+use crate::client::HARDLY_MISSED;
 use crate::fetch::{self, Fetch, Job, Progress};
 use crate::http1;
+use crate::ledger::Purpose;
 use crate::net;
 use crate::ring::Body;
 
@@ -18,8 +21,9 @@
                 None => return,
             },
         };
-        let Some(number) = self.connection(backend) else {
-            return self.report(job, Outcome::ConnectFailed, None);
+        let number = match self.connection(backend) {
+            Ok(number) => number,
+            Err(outcome) => return self.report(job, outcome, None),
         };
         let connect_timeout = self.deployment.connect_timeout;
         let Some(fetch) = self.fetches.get_mut(number) else { return };
@@ -33,29 +37,51 @@
         if fits { self.go_on(number, false) } else { self.end_fetch(number, Outcome::ConnectFailed) }
     }
 
-    /// A connection to a backend: the newest idle one that is sound, or a new one.
-    pub(super) fn connection(&mut self, backend: BackendId) -> Option<u32> {
-        let endpoint = self.fleet.endpoint(backend)?;
+    /// A connection to a backend: the newest idle one that is sound, or a new one. Without a descriptor for it
+    /// the attempt is moot, which says nothing of the backend.
+    pub(super) fn connection(&mut self, backend: BackendId) -> Result<u32, Outcome> {
+        let endpoint = self.fleet.endpoint(backend).ok_or(Outcome::ConnectFailed)?;
         while let Some(number) = self.pool.take(backend) {
             if let Some(fetch) = self.fetches.get_mut(number)
                 && fetch.is_sound()
             {
                 fetch.phase = fetch::Phase::Sending;
-                return Some(number);
+                return Ok(number);
             }
             self.fetches.remove(number);
         }
-        if self.fetches.is_full() {
-            let spare = self.pool.spare()?;
-            self.fetches.remove(spare);
+        if !self.room_for_fetch() {
+            self.log.line(self.now, "fetches-full", format_args!("held={}", self.fetches.len()));
+            return Err(Outcome::Moot);
         }
-        let socket = net::dial(endpoint).inspect_err(|error| {
-            self.log.line(self.now, "dial-failed", format_args!("backend={} {error}", backend.0));
+        let opened = net::dial(endpoint).and_then(|socket| {
+            let number = self.fetches.vacant().ok_or(Errno::MFILE)?;
+            epoll::add(&self.epoll, &socket, token(FETCH, number), BOTH)?;
+            self.fetches.insert(Fetch::new(socket, backend, BOTH, &self.budget)).ok_or(Errno::MFILE)
         });
-        let socket = socket.ok()?;
-        let number = self.fetches.vacant()?;
-        epoll::add(&self.epoll, &socket, token(FETCH, number), BOTH).ok()?;
-        self.fetches.insert(Fetch::new(socket, backend, BOTH, &self.budget))
+        opened.map_err(|error| {
+            self.log.line(self.now, "dial-failed", format_args!("backend={} {error}", backend.0));
+            match error {
+                Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM | Errno::NOSPC => Outcome::Moot,
+                _ => Outcome::ConnectFailed,
+            }
+        })
+    }
+
+    /// Whether another connection to a backend may be held; what can best be missed closes for it.
+    fn room_for_fetch(&mut self) -> bool {
+        if self.ledger.fits(Purpose::Fetch, self.fetches.len(), self.sessions.len()) {
+            return true;
+        }
+        let lends = self.ledger.lends(Purpose::Session, self.sessions.len());
+        let session = if lends { self.spare_session() } else { None };
+        if let Some((.., number)) = session.filter(|(class, ..)| *class <= HARDLY_MISSED) {
+            return self.close_session(number);
+        }
+        if let Some(idle) = self.pool.spare() {
+            return self.fetches.remove(idle).is_some();
+        }
+        session.is_some_and(|(.., number)| self.close_session(number))
     }
 
     /// Moves a fetch on as far as its socket lets it.
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -6,8 +6,9 @@
 use rustix::event::epoll::{self, EventFlags};
 
 use super::{BOTH, Due, LISTENER, Node, READ, SESSION, token};
-use crate::client::{self, Intake, Route, Session};
+use crate::client::{self, HARDLY_MISSED, Intake, Route, Session};
 use crate::clock::MS;
+use crate::ledger::Purpose;
 use crate::net;
 use crate::req::{Ask, Barred, Synthetic};
 
@@ -18,7 +19,7 @@
     /// Takes every client that waits: what the kernel has accepted counts as ours.
     pub(super) fn accept(&mut self) {
         while self.accepting {
-            if self.sessions.is_full() && !self.close_oldest_session() {
+            if !self.room_for_session() {
                 self.log.line(self.now, "sessions-full", format_args!("held={}", self.sessions.len()));
                 return self.pause_accepting();
             }
@@ -29,7 +30,9 @@
                 Err(error) => {
                     self.log.line(self.now, "accept-failed", error);
                     // Out of descriptors: an idle session gives up its own. No spin on what can't be taken.
-                    self.close_oldest_session();
+                    if let Some((.., number)) = self.spare_session() {
+                        self.close_session(number);
+                    }
                     return self.pause_accepting();
                 }
             }
@@ -49,22 +52,70 @@
         }
     }
 
+    /// Whether another session may be held; what can best be missed closes for it.
+    fn room_for_session(&mut self) -> bool {
+        if self.ledger.fits(Purpose::Session, self.sessions.len(), self.fetches.len()) {
+            return true;
+        }
+        let spare = self.spare_session();
+        let hardly_missed = spare.is_some_and(|(class, ..)| class <= HARDLY_MISSED);
+        if !hardly_missed
+            && self.ledger.lends(Purpose::Fetch, self.fetches.len())
+            && let Some(idle) = self.pool.spare()
+        {
+            return self.fetches.remove(idle).is_some();
+        }
+        spare.is_some_and(|(.., number)| self.close_session(number))
+    }
+
+    /// The session that can be spared most: its class, since when, its number.
+    pub(super) fn spare_session(&self) -> Option<(u8, Nanos, u32)> {
+        let spare = |(number, session): (u32, &Session)| {
+            session.spare(self.now).map(|(class, since)| (class, since, number))
+        };
+        self.sessions.iter().filter_map(spare).min()
+    }
+
+    /// Clients may hold only so many connections for requests here. Guards against some that have asked once
+    /// and keep theirs for good: others then can't connect, of which nothing shows here.
+    pub(super) fn trim_sessions(&mut self) {
+        self.trimming = false;
+        let asked = self.sessions.iter().filter(|(_, session)| session.has_asked()).count();
+        let over = asked.saturating_sub(self.ledger.most_asked());
+        let mut spare: Vec<(u8, Nanos, u32)> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.has_asked())
+            .filter_map(|(number, session)| {
+                session.spare(self.now).map(|(class, since)| (class, since, number))
+            })
+            .filter(|(class, ..)| *class <= HARDLY_MISSED)
+            .collect();
+        spare.sort_unstable();
+        for (.., number) in spare.into_iter().take(over) {
+            self.close_session(number);
+        }
+        self.watch_sessions();
+    }
+
+    /// While there may be too many that have asked, they are looked at now and then.
+    fn watch_sessions(&mut self) {
+        if !self.trimming && self.sessions.len() > self.ledger.most_asked() {
+            self.trimming = true;
+            self.wheel.hang(self.now + client::TRIM, Due::TrimSessions);
+        }
+    }
+
     pub(super) fn open_session(&mut self, socket: OwnedFd) {
         let Some(number) = self.sessions.vacant() else { return };
         if let Err(error) = epoll::add(&self.epoll, &socket, token(SESSION, number), READ) {
             return self.log.line(self.now, "epoll-failed", error);
         }
         self.sessions.insert(Session::new(socket, self.now, READ, &self.budget));
+        self.watch_sessions();
         self.read_session(number);
     }
 
-    /// Closes the session that can be spared most, idle ones first; tells whether there was one.
-    pub(super) fn close_oldest_session(&mut self) -> bool {
-        let spare =
-            self.sessions.iter().filter_map(|(number, session)| Some((session.spare(self.now)?, number)));
-        spare.min().is_some_and(|(_, number)| self.close_session(number))
-    }
-
     /// Closes a session; a req that it waits for has lost its client.
     pub(super) fn close_session(&mut self, number: u32) -> bool {
         let Some(session) = self.sessions.remove(number) else { return false };
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -159,6 +159,11 @@
         lines
     }
 
+    /// How many descriptors the program holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.node.id())).unwrap().count()
+    }
+
     pub fn terminate(&self) {
         self.signal(rustix::process::Signal::TERM);
     }
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -166,8 +166,8 @@
 #[test]
 fn when_sessions_run_out_the_one_idle_for_longest_closes() {
     let world = World::start();
-    // 5/8 of the 128 descriptors.
-    let mut clients: Vec<_> = (0..81).map(|_| world.client()).collect();
+    // 128 descriptors less 20 for the rest, and a quarter of those are kept for backends.
+    let mut clients: Vec<_> = (0..82).map(|_| world.client()).collect();
     let mut newest = clients.pop().unwrap();
     newest.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
     assert_eq!(clients[0].expect_end(), "");
@@ -187,6 +187,51 @@
     client.send(ask).expect("ok\n");
 }
 
+#[test]
+fn clients_that_ask_once_and_stay_do_not_fill_their_share() {
+    // A third of the 128 descriptors is all that clients may hold; then others can't come.
+    let world = World::start();
+    let since = std::time::Instant::now();
+    let ask = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
+    let mut client = world.client();
+    client.send(ask).expect("ok\n");
+    let mut once: Vec<_> = (0..42).map(|_| world.client()).collect();
+    for once in &mut once {
+        once.send(ask).expect("ok\n");
+    }
+    client.send(ask).expect("ok\n");
+    // The oldest go until a quarter is left, none of which has gone.
+    for gone in &mut once[..11] {
+        assert_eq!(gone.expect_end(), "");
+    }
+    assert!(since.elapsed().as_secs() < 5, "{:?}", since.elapsed());
+    for kept in once[11..].iter_mut().chain([&mut client]) {
+        kept.send(ask).expect("ok\n");
+    }
+}
+
+#[test]
+fn the_limit_of_descriptors_holds_and_what_backends_need_is_there() {
+    let world = World::with(|config| config.replace(r#""sockets":128"#, r#""sockets":64"#));
+    let mut first = world.client();
+    first.send(&report("x0", 5000));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    // Silent ones take all that clients may have; a session with a req is none of those that close.
+    let mut flood: Vec<_> = (0..100).map(|_| world.client()).collect();
+    flood[99].send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+    assert!((40..=64).contains(&world.descriptors()), "{}", world.descriptors());
+    backend.serve("200 OK\r\nConnection: close", "one");
+    first.expect("one");
+    // A new connection to a backend still finds a descriptor.
+    first.send(&report("x1", 5000));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    backend.serve("200 OK", "two");
+    first.expect("two");
+    assert!(world.descriptors() <= 64, "{}", world.descriptors());
+}
+
 #[test]
 fn idle_connections_close_at_the_notice_of_a_drain() {
     let world = World::start();
