--- a/node/src/ledger.rs
+++ b/node/src/ledger.rs
@@ -81,7 +81,10 @@
         /// Whatever comes and goes: the limit holds, each side reaches its reserve whatever the other does,
         /// and one side alone reaches all but the other's reserve.
         #[test]
-        fn the_limit_and_both_reserves_hold(limit in 64usize..=4096, steps in prop::collection::vec(any::<(bool, bool)>(), 0..6000)) {
+        fn the_limit_and_both_reserves_hold(
+            limit in 64usize..=4096,
+            steps in prop::collection::vec(any::<(bool, bool)>(), 0..6000),
+        ) {
             let ledger = Ledger::new(limit);
             let mut held = [0usize; 2];
             for (fetch, take) in steps {
@@ -98,7 +101,8 @@
                     );
                 }
                 prop_assert!(held[0] + held[1] + REST <= limit, "{held:?}");
-                prop_assert!(held[0] <= ledger.most(Purpose::Session) && held[1] <= ledger.most(Purpose::Fetch));
+                prop_assert!(held[0] <= ledger.most(Purpose::Session));
+                prop_assert!(held[1] <= ledger.most(Purpose::Fetch));
             }
             let alone = (0..).find(|n| !ledger.fits(Purpose::Session, *n, 0)).unwrap();
             prop_assert_eq!(alone, ledger.most(Purpose::Session));
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -37,8 +37,8 @@
         if fits { self.go_on(number, false) } else { self.end_fetch(number, Outcome::ConnectFailed) }
     }
 
-    /// A connection to a backend: the newest idle one that is sound, or a new one. Without a descriptor for it
-    /// the attempt is moot, which says nothing of the backend.
+    /// A connection to a backend: the newest idle one that is sound, or a new one. Without a descriptor for
+    /// it the attempt is moot, which says nothing of the backend.
     pub(super) fn connection(&mut self, backend: BackendId) -> Result<u32, Outcome> {
         let endpoint = self.fleet.endpoint(backend).ok_or(Outcome::ConnectFailed)?;
         while let Some(number) = self.pool.take(backend) {
