Look again at attempts that were not yet overdue, so that silence frees its room

Cause, by a log of rooms, base, ratio and strain every 250 ms at both nodes: rooms stood at 1 to 3 a backend and base at 11 to 15 ms throughout; what closed was the node's own bound, `out >= room`: 7 to 8 attempts out, none of which was answered for 0.75 s and more, 120 reqs waiting. These are connections that fell silent. Each was to be called off at 75 to 170 ms, but the moment was set when the attempt went out; by then the usual latency had risen by a few ms, the attempt was found not overdue (77.4 of 82.9 ms, 147.1 of 150.3 ...), and was never looked at again: it held its room until the client's deadline of 1.67 s ("overdue false, late true" in 50 of 258 looks).

Change: an attempt that is not overdue when looked at is looked at again when it will be, and one that the storm limit holds back a fifth of that later.

The new test fails without either half of the change.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -741,8 +741,9 @@
     }
 
     /// Calls off an attempt that looks lost, if another may go out in time. Guards against
-    /// connections that fall silent, which cost a request all its time. Harm: work is done twice where
-    /// backends are only slow; the storm limit bounds it.
+    /// connections that fall silent, which cost a request all its time, and hold room for as long: so one that
+    /// can't be called off yet is looked at again. Harm: work is done twice where backends are only slow; the
+    /// storm limit bounds it.
     fn call_off(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
         let (open, limits) = (&self.open[&id], &self.settings.limits);
         let class = usize::from(open.request.class.0);
@@ -753,8 +754,15 @@
             Effect::Keyed { window, .. } => open.may_have_run().all(|a| now < a.sent.saturating_add(window)),
         };
         let more = limits.cancel && once && open.attempts.len() < limits.max_attempts as usize;
-        let overdue = now >= last.sent.saturating_add(self.overdue(id));
-        if more && overdue && now < self.give_up(id) && self.retry_tokens >= 1.0 {
+        if !more || now >= self.give_up(id) {
+            return;
+        }
+        let span = self.overdue(id);
+        let at = last.sent.saturating_add(span);
+        if now < at || self.retry_tokens < 1.0 {
+            let again = if now < at { at } else { now.saturating_add(span / OVERDUE as u64) };
+            self.agenda.insert((again, Task::Look(id)));
+        } else {
             self.retry_tokens -= 1.0;
             actions.push(Action::Cancel { request: id, attempt: place as u8 });
         }
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -389,6 +389,37 @@
     }
 }
 
+#[test]
+fn an_attempt_is_called_off_though_others_take_longer_meanwhile_or_the_storm_limit_is_reached() {
+    for retries in [60, 0] {
+        let mut settings = settings();
+        settings.limits.second_copies = false;
+        let mut feed = Feed::new(settings, (1..=4).map(backend).collect());
+        feed.serve(40, |_| 30 * MS);
+        for _ in 0..retries {
+            let (id, _) = feed.ask(0);
+            feed.wait(10 * MS);
+            for attempt in 0..3 {
+                if feed.sent[&id].len() > attempt {
+                    feed.end(id, attempt, Outcome::Error);
+                }
+            }
+        }
+        let (id, _) = feed.ask(0);
+        // The usual latency rises, so that it is not overdue at the moment which was set for it.
+        let off = Action::Cancel { request: id, attempt: 0 };
+        let mut called_off = false;
+        for _ in 0..8 {
+            let (other, _) = feed.ask(0);
+            called_off |= feed.wait(40 * MS).contains(&off);
+            if feed.sent.contains_key(&other) {
+                feed.end(other, 0, Outcome::Ok);
+            }
+        }
+        assert!(called_off, "with {retries} retries before");
+    }
+}
+
 #[test]
 fn a_few_silent_attempts_do_not_close_all_room() {
     let mut settings = settings();
