--- a/src/balance.rs
+++ b/src/balance.rs
@@ -741,9 +741,9 @@
     }
 
     /// Calls off an attempt that looks lost, if another may go out in time. Guards against
-    /// connections that fall silent, which cost a request all its time, and hold room for as long: so one that
-    /// can't be called off yet is looked at again. Harm: work is done twice where backends are only slow; the
-    /// storm limit bounds it.
+    /// connections that fall silent, which cost a request all its time and hold room for as long, so one
+    /// that can't be called off yet is looked at again. Harm: work is done twice where backends are only
+    /// slow; the storm limit bounds it.
     fn call_off(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
         let (open, limits) = (&self.open[&id], &self.settings.limits);
         let class = usize::from(open.request.class.0);
