Pace a large fleet by what it completes, and give cold backends their due

Causes and lines: `save_up` kept one send at most, so that half of the credit was lost between two draws; `split` multiplied a cold backend's share by its least warmth on top of rate and credit; its estimate leaned to the crowd's mean (`priors`); a turn-away of 1 ms joined L as 1 ms (`on_outcome`); nothing at all bounded a crowd (`full`). Found by the test: the order of waiting compared worths to the bit, so a drifting mean made the newest the last (`rank`). Change: two sends saved, margin 0.5, cold as a pooled label, turn-aways and failed connects charge an aim, attempts paced by completions and their latency where room is coarse, untried reqs refused at half of their time, worths within a fifth equal. Ruled out by measurement: a longer memory (12 s) of latencies, of errors, of both; a charge for errors (starves one that fails a third); a pace by single answers; a bound on attempts out.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -101,7 +101,9 @@
         let clock = Clock::start();
         let now = clock.read();
         let deployment = config.deployment;
-        let settings = deployment.settings.clone();
+        let mut settings = deployment.settings.clone();
+        // Past half of its time, a refusal of what no backend has seen has a price (the platform's figure).
+        settings.limits.untried = 0.5;
         let tick = settings.tick.clamp(MS, 10 * MS);
         let own = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let sockets = own.map_or(config.sockets, |own| config.sockets.min(own as usize));
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -58,6 +58,7 @@
             // `retryAfter` only says whether the drill's clients are handed the advice. A refusal over HTTP
             // may always carry it, and without it a refused client is back at once, into the same crowd.
             max_retry_after: limits.or("maxRetryAfterNs", 0, Place::whole)?,
+            untried: 1.0,
         },
         rules: Rules {
             answer_slack: rules.or("answerSlackNs", 0, Place::whole)?,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -27,7 +27,7 @@
 /// Longest memory of a backend's completions, in longest aims.
 const MEMORY_AIMS: f64 = 10.0;
 /// Share of what is believed safe that this node sends a cold backend; the rest is for what it can't see.
-const COLD_MARGIN: f64 = 0.4;
+const COLD_MARGIN: f64 = 0.5;
 /// Further attempts and second copies a request pays for: the storm limit.
 const RETRY_RATIO: f64 = 0.2;
 /// Failures that can make an outlier.
@@ -48,6 +48,14 @@
 /// Multiple of what it was to take by which an attempt is overdue, and part of the aim that it has at least.
 const OVERDUE: f64 = 5.0;
 const OVERDUE_AIM: f64 = 0.25;
+/// Part of the aim over which the mean latency of all tells of a crowd: a longer one serves more of them
+/// late than it gains by fewer idle backends.
+const CROWDED: f64 = 0.75;
+/// Multiple of what is completed that a pace reaches at most.
+const PACE_MOST: f64 = 5.0;
+/// Bits of a worth that don't count in the order of waiting: those within a fifth are equals. Guards
+/// against an order by age where the usual work, which worth is divided by, drifts.
+const EQUALS: u32 = 50;
 /// What attempts out have waited strains by at most this multiple of what answers took.
 const MOST_WAITED: f64 = 3.0;
 /// At most this share of the listed backends is ejected; beyond, ejection fails open.
@@ -106,6 +114,12 @@
     /// Attempts out, and the summed room of usable backends.
     out: f64,
     room: f64,
+    /// Completions and their latencies, of all backends together in the window of lambda, and the attempts
+    /// that the pace from these has saved up.
+    recent: Pool,
+    saved: f64,
+    /// A timer for those that wait is set for then.
+    wake: Nanos,
     /// Discounted requests taken up, in the window of lambda.
     arrivals: f64,
     /// First sends since the start.
@@ -168,6 +182,9 @@
             failed_open: false,
             out: 0.0,
             room: 0.0,
+            recent: Pool::default(),
+            saved: 1.0,
+            wake: 0,
             arrivals: 0.0,
             sends: 0.0,
             waiting: BTreeSet::new(),
@@ -202,6 +219,7 @@
             match task {
                 Task::Ask => actions.push(Action::Subscribe(true)),
                 Task::Look(id) => self.look(now, id, actions),
+                Task::Wake => {}
                 Task::Close(id) => actions.push(Action::CloseIdle { backend: id }),
             }
         }
@@ -254,12 +272,13 @@
     /// Saves up sends to a cold backend over `step` seconds. What a warm one is seen to bear is a lower bound
     /// of capacity, and linear warming from the stated start one of warmth. The credit starts at a random
     /// part of a send: many nodes, each with less than a send for a window, then keep the budget by chance.
+    /// Two are saved at least: a node that draws the backend seldom would else lose a part at most draws.
     fn save_up(&self, server: &Server, warmth: f64, step: f64) -> f64 {
         let rules = &self.settings.rules;
         // A fleet that is cold as a whole gets something to be judged by.
         let least = 1.0 / (self.siblings * self.shortest_aim);
         let rate = COLD_MARGIN * rules.fall_multiple * warmth * self.per_backend.max(least);
-        let most = (rate * rules.fall as f64 / SECOND).max(1.0);
+        let most = (rate * rules.fall as f64 / SECOND).max(2.0);
         (server.cold_credit + rate * step).min(most)
     }
 
@@ -304,6 +323,9 @@
         }
         let keep = (-step / self.lambda_window()).exp();
         self.arrivals *= keep;
+        (self.recent.done, self.recent.spent) = (self.recent.done * keep, self.recent.spent * keep);
+        let pace = self.pace(now);
+        self.saved = (self.saved + pace * step).min((pace * self.shortest_aim).max(2.0));
         for (tokens, tenant) in self.quota.iter_mut().zip(&self.settings.tenants) {
             let rate = tenant.quota_per_s / self.siblings;
             *tokens = (*tokens + rate * step).min(rate.max(1.0));
@@ -397,7 +419,7 @@
             server.explore = unknown * warmths[place] * clock.ln() / clock / (1.0 + server.streak);
             server.cold_credit = credits[place];
             let near = server.entry.zone == self.settings.zone;
-            server.share = warmths[place] * shares[place] * if near { 1.0 } else { spill };
+            server.share = shares[place] * if near { 1.0 } else { spill };
         }
         self.split_at = now;
         self.stale = false;
@@ -425,24 +447,29 @@
     }
 
     /// Latency that an estimate leans to, and that of its kind, for each backend: the fleet's, times what is
-    /// pooled for its kind, its cell and its zone. Guards against starved estimates behind many nodes, and
-    /// against what strikes all of one label at once (a silent rack, a zone cut off). Harm: a sound backend
-    /// among bad ones gets little.
+    /// pooled for its kind, its cell, its zone, and for being cold. Guards against starved estimates behind
+    /// many nodes, and against what strikes all of one label at once (a silent rack, a zone cut off). Harm: a
+    /// sound backend among bad ones gets little.
     fn priors(&self, seconds: f64) -> (Vec<(f64, f64)>, f64) {
         let pooled = self.ready().fold((0.0, 0.0), |sum, s| (sum.0 + s.spent, sum.1 + s.done));
         let mean = if pooled.1 > 0.0 { pooled.0 / pooled.1 } else { 0.0 };
         let kind = |s: &Server| self.kinds.get(&s.entry.kind).map_or(1.0, |k| k.mean());
         let mut cells: BTreeMap<CellId, Pool> = BTreeMap::new();
         let mut zones: BTreeMap<ZoneId, Pool> = BTreeMap::new();
+        let mut ages = [Pool::default(), Pool::default()];
+        let cold = |s: &Server| self.warmth(self.refreshed, s) < 1.0;
         for server in self.ready() {
             let usual = (mean * kind(server)).max(1e-9);
             // Only what attempts out have waited beyond the usual speaks against them; a failure costs an
             // aim.
             let waited = (server.out * seconds - server.out_sent - server.out * usual).max(0.0);
             let spent = (server.spent + waited + server.failed * self.shortest_aim) / usual;
-            for pool in
-                [cells.entry(server.entry.cell).or_default(), zones.entry(server.entry.zone).or_default()]
-            {
+            let age = &mut ages[usize::from(cold(server))];
+            for pool in [
+                cells.entry(server.entry.cell).or_default(),
+                zones.entry(server.entry.zone).or_default(),
+                age,
+            ] {
                 pool.spent += spent;
                 pool.done += server.done;
             }
@@ -450,7 +477,8 @@
         let of = |s: &Server| {
             let cell = cells.get(&s.entry.cell).map_or(1.0, Pool::mean);
             let usual = mean * kind(s);
-            (usual * cell * zones.get(&s.entry.zone).map_or(1.0, Pool::mean), usual)
+            let age = if cold(s) { ages[1].mean() / ages[0].mean() } else { 1.0 };
+            (usual * cell * age * zones.get(&s.entry.zone).map_or(1.0, Pool::mean), usual)
         };
         let (mut home, mut away) = (Pool::default(), Pool::default());
         for (zone, pool) in &zones {
@@ -534,10 +562,24 @@
     }
 
     /// No further attempt may be out. Where this node's share of a backend's c is under one attempt, whole
-    /// attempts are too coarse a measure and nothing is held back: what many nodes hold, each by its own few
-    /// answers, closes a fleet that is half idle. Harm: there, only backends that turn away bound a crowd.
+    /// attempts are too coarse a measure, and attempts are paced by what is completed.
     fn full(&self) -> bool {
-        !self.coarse() && self.out >= self.room.max(1.0) && self.out > 0.0
+        if self.coarse() { self.saved < 1.0 } else { self.out >= self.room.max(1.0) && self.out > 0.0 }
+    }
+
+    /// Attempts a second that this node may start where room is too coarse: as many as are completed, times
+    /// how far their mean latency is under what tells of a crowd. Guards against a fleet that many nodes push
+    /// over together, where all is served just too late. Few samples are enough, as the bound is far from
+    /// what is usual. Harm: at the end of a crowd a node needs some answers until it is at its old pace.
+    fn pace(&self, now: Nanos) -> f64 {
+        let window = self.lambda_window();
+        let age = now.saturating_sub(self.started) as f64 / SECOND;
+        if age < window {
+            return SECOND / self.settings.tick as f64;
+        }
+        let latency = self.recent.spent / self.recent.done.max(1e-9);
+        let slack = CROWDED * self.shortest_aim / latency.max(1e-9);
+        (self.recent.done / window * slack.min(PACE_MOST)).max(1.0 / window)
     }
 
     /// Whether a backend holds less from this node than it is seen to keep up with. Guards against crowding,
@@ -556,6 +598,17 @@
         }
         let base = if zone.seen < SAMPLES { self.classes[class].all.base } else { zone.base };
         let ratio = spent / base.max(1e-9);
+        match outcome {
+            Outcome::Ok => self.recent.done += 1.0,
+            Outcome::Full | Outcome::Timeout => {}
+            // It has used no capacity: another may go out for it.
+            _ => self.saved += 1.0,
+        }
+        self.recent.spent += match outcome {
+            Outcome::Ok => spent,
+            Outcome::Full | Outcome::Timeout => spent.max(self.shortest_aim),
+            _ => 0.0,
+        };
         let ratio = match outcome {
             Outcome::Ok => ratio,
             Outcome::Timeout | Outcome::Full => ratio.max(2.0 * TOLERANCE),
@@ -593,7 +646,7 @@
             value *= settings.late_worth.clamp(0.0, 1.0);
         }
         self.turns += 1;
-        (u64::MAX - value.max(0.0).to_bits(), u64::MAX - self.turns)
+        (u64::MAX - (value.max(0.0).to_bits() >> EQUALS), u64::MAX - self.turns)
     }
 
     /// Gives room to those that wait, until none is left.
@@ -606,6 +659,10 @@
         if self.waiting.is_empty() || !self.servers.values().any(Self::has_room) {
             return;
         }
+        if self.coarse() && self.full() && self.wake <= now {
+            self.wake = now + ((1.0 - self.saved) / self.pace(now) * SECOND) as Nanos + self.settings.tick;
+            self.agenda.insert((self.wake, Task::Wake));
+        }
         let mut misses = 0;
         let mut after = ((0, 0), RequestId(0));
         while misses < 3 && !self.full() {
@@ -646,6 +703,10 @@
         // Where misses are counted apart, a refusal within the aim is none, and a late answer is one.
         let late = self.settings.classes[class].late_worth > 0.0 && self.settings.tail == 0.0;
         let end = if late { open.deadline } else { open.aim };
+        // A refusal of what was never written to a backend costs nothing up to a part of its time.
+        let unwritten = |a: &Attempt| matches!(a.outcome, Some(Outcome::ConnectFailed | Outcome::Moot));
+        let untried = (open.request.patience as f64 * (1.0 - self.settings.limits.untried)) as Nanos;
+        let end = if open.attempts.iter().all(unwritten) { end.min(open.deadline - untried) } else { end };
         let usual = (self.classes[class].all.base * SECOND) as Nanos;
         end.saturating_sub(usual.min(self.settings.classes[class].aim / 2) + self.settings.tick)
     }
@@ -655,6 +716,7 @@
         let Some(backend) = self.draw(now, id) else { return false };
         let server = self.servers.get_mut(&backend).expect("drawn from the list");
         self.out += 1.0;
+        self.saved -= 1.0;
         server.out += 1.0;
         server.out_sent += now as f64 / SECOND;
         server.cold_credit = (server.cold_credit - 1.0).max(0.0);
@@ -769,7 +831,13 @@
         if let Some(server) = self.servers.get_mut(&backend) {
             server.out -= 1.0;
             server.out_sent -= sent as f64 / SECOND;
-            server.spent += if outcome == Outcome::Rejected { 0.0 } else { spent };
+            server.spent += match outcome {
+                Outcome::Rejected => 0.0,
+                // At once or not, the request has to begin again elsewhere. Guards against a backend that is
+                // gone or leaving while the list is late: its own latency would make it the fastest.
+                Outcome::ConnectFailed | Outcome::Full => spent.max(self.shortest_aim),
+                _ => spent,
+            };
             if outcome == Outcome::Ok {
                 server.joined = if server.done > 0.0 { server.joined } else { now };
                 server.done += 1.0;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -97,6 +97,8 @@
     pub probes: bool,
     /// Longest advice to stay away that clients heed; 0 where they take none.
     pub max_retry_after: Nanos,
+    /// Part of its patience after which a request that no backend has seen is turned away.
+    pub untried: f64,
 }
 
 /// The figures of the four rules.
@@ -169,6 +171,7 @@
                 cancel: true,
                 probes: false,
                 max_retry_after: 0,
+                untried: 1.0,
             },
             rules: Rules {
                 answer_slack: 0,
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,6 +10,7 @@
     Ask,
     Look(RequestId),
     Close(BackendId),
+    Wake,
 }
 
 /// What is known of a backend.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! What many nodes do together: each instance is sound alone, and the sums over the fleet are what is checked.
+//! What many nodes do together: each instance is sound alone, and what they sum to is checked.
 //! A deterministic world of backends that work first come, first served; no sockets and no wall clock.
 
 use std::cmp::Reverse;
@@ -25,6 +25,15 @@
     End { node: usize, request: u32, attempt: usize, outcome: u8 },
 }
 
+/// How a backend is doing.
+#[derive(Clone, Copy)]
+enum Health {
+    /// Its strength, 1 when warm.
+    Works(f64),
+    /// It turns all away at once, as one that is leaving does.
+    Leaving,
+}
+
 const ENDS: [Outcome; 4] = [Outcome::Ok, Outcome::Full, Outcome::Timeout, Outcome::Cancelled];
 
 /// What became of a request, its node, and each of its attempts: when, where, and whether it is still out.
@@ -38,9 +47,9 @@
 
 struct World {
     nodes: Vec<Balancer>,
-    /// For each backend: when it has worked off what it holds, and whether it is silent.
+    /// For each backend: when it has worked off what it holds.
     free_at: BTreeMap<BackendId, Nanos>,
-    silent: fn(BackendId, Nanos) -> bool,
+    health: fn(BackendId, Nanos) -> Health,
     now: Nanos,
     coming: BinaryHeap<Reverse<(Nanos, u64, Coming)>>,
     turn: u64,
@@ -58,6 +67,8 @@
         Settings { classes: vec![class], siblings: nodes as u32, ask_list: true, ..Settings::default() };
     (settings.limits.max_attempts, settings.limits.second_copies) = (5, false);
     settings.limits.max_retry_after = 2 * SECOND;
+    settings.limits.untried = 0.5;
+
     settings.rules.cold_from = 0.31;
     settings.rules.cold = 8_800 * MS;
     settings.rules.fall_multiple = 3.0;
@@ -80,7 +91,7 @@
         let mut world = World {
             nodes: (0..nodes).map(balancer).collect(),
             free_at: backends.iter().map(|b| (b.id, START)).collect(),
-            silent: |_, _| false,
+            health: |_, _| Health::Works(1.0),
             now: START,
             coming: BinaryHeap::new(),
             turn: 0,
@@ -131,13 +142,12 @@
         let attempt = fate.attempts.len();
         fate.attempts.push((now, backend, true));
         let free_at = self.free_at.get_mut(&backend).expect("listed");
-        let (at, outcome) = if (self.silent)(backend, now) {
-            (until, 2)
-        } else if *free_at > now + QUEUE * WORK {
-            (now + MS, 1)
-        } else {
-            *free_at = (*free_at).max(now) + work;
-            if *free_at < until { (*free_at, 0) } else { (until, 2) }
+        let (at, outcome) = match (self.health)(backend, now) {
+            Health::Works(strength) if *free_at <= now + QUEUE * WORK => {
+                *free_at = (*free_at).max(now) + (work as f64 / strength) as Nanos;
+                if *free_at < until { (*free_at, 0) } else { (until, 2) }
+            }
+            _ => (now + MS, 1),
         };
         self.plan(at, Coming::End { node, request, attempt, outcome });
     }
@@ -227,3 +237,91 @@
         assert!(world.fates.values().all(|fate| fate.node < nodes));
     }
 }
+
+/// Backends 30 to 59 start cold five seconds in, and their strength grows evenly.
+fn second_half_starts(id: BackendId, now: Nanos) -> Health {
+    let age = now.saturating_sub(START + 5 * SECOND) as f64 / (8_800 * MS) as f64;
+    Health::Works(if id.0 < 30 { 1.0 } else { (0.31 + 0.69 * age).min(1.0) })
+}
+
+#[test]
+fn cold_backends_are_used_and_none_is_pushed_over() {
+    for nodes in NODES {
+        let mut backends: Vec<Backend> = (0..30).map(backend).collect();
+        let mut world = World::new(nodes, &backends);
+        world.run(5 * SECOND, 500.0);
+        backends = (30..60).map(|id| Backend { started: Some(START + 5 * SECOND), ..backend(id) }).collect();
+        world.free_at.extend(backends.iter().map(|b| (b.id, START)));
+        world.health = second_half_starts;
+        for node in 0..nodes {
+            world.give(node, Event::List { kind: ListKind::Delta, backends: backends.clone() });
+        }
+        // More than the warm ones bear.
+        world.run(4 * SECOND, 850.0);
+        let cold: BTreeMap<BackendId, Vec<Nanos>> =
+            world.fates.values().flat_map(|fate| &fate.attempts).filter(|attempt| attempt.1.0 >= 30).fold(
+                BTreeMap::new(),
+                |mut all, (at, to, _)| {
+                    all.entry(*to).or_insert_with(Vec::new).push(*at);
+                    all
+                },
+            );
+        for (id, mut sends) in cold.clone() {
+            sends.sort_unstable();
+            for (place, from) in sends.iter().enumerate() {
+                let Health::Works(strength) = second_half_starts(id, *from) else { unreachable!() };
+                // Rule 4: three times what it can do at that moment, for two seconds.
+                let budget = 3.0 * strength * (2 * SECOND / WORK) as f64;
+                let within = sends[place..].iter().take_while(|at| **at <= from + 2 * SECOND).count();
+                assert!((within as f64) < budget, "{nodes} nodes send {within} of {budget} to {}", id.0);
+            }
+        }
+        // Half of what thirty of this strength could do in the last two seconds.
+        let late = |at: &&Nanos| **at >= START + 7 * SECOND;
+        let used = cold.values().flatten().filter(late).count();
+        assert!(used > 375, "{nodes} nodes send {used} to thirty cold backends");
+    }
+}
+
+#[test]
+fn a_crowd_is_served_in_time_as_far_as_it_can_be() {
+    for nodes in NODES {
+        let backends: Vec<Backend> = (0..60).map(backend).collect();
+        let mut world = World::new(nodes, &backends);
+        world.run(3 * SECOND, 750.0);
+        // Six in ten vanish at once, and the rest meet nearly twice what they can do.
+        let gone =
+            (24..60).map(|id| Backend { state: BackendState::Gone, ..backend(id) }).collect::<Vec<_>>();
+        for node in 0..nodes {
+            world.give(node, Event::List { kind: ListKind::Delta, backends: gone.clone() });
+        }
+        world.run(8 * SECOND, 1_100.0);
+        let in_time = world.in_time(START + 4 * SECOND);
+        assert!(in_time > 0.15, "{nodes} nodes serve {in_time:.3} in time of 0.55");
+        // What nobody has tried by half of its time is turned away then.
+        let first = |fate: &Fate| fate.attempts.first().map_or(0, |first| first.0 - fate.asked);
+        assert!(world.fates.values().all(|fate| first(fate) <= 800 * MS));
+    }
+}
+
+fn ten_are_leaving(id: BackendId, _: Nanos) -> Health {
+    if id.0 < 10 { Health::Leaving } else { Health::Works(1.0) }
+}
+
+#[test]
+fn backends_that_leave_before_the_list_says_so_draw_little() {
+    for nodes in NODES {
+        let backends: Vec<Backend> = (0..60).map(backend).collect();
+        let mut world = World::new(nodes, &backends);
+        world.run(3 * SECOND, 600.0);
+        world.health = ten_are_leaving;
+        world.run(4 * SECOND, 600.0);
+        let since = START + 4 * SECOND;
+        let late = |attempt: &&(Nanos, BackendId, bool)| attempt.0 >= since;
+        let sends = || world.fates.values().flat_map(|fate| &fate.attempts).filter(late);
+        let lost = sends().filter(|attempt| attempt.1.0 < 10).count() as f64 / sends().count() as f64;
+        // Their share by number is a sixth.
+        assert!(lost < 0.11, "{nodes} nodes send {lost:.3} to backends that are leaving");
+        assert!(world.in_time(since) > 0.9);
+    }
+}
