Pace a large fleet at the whole aim, and leave time-outs out of the pace

Cause: `pace` counted a time-out of a silent connection with its 1.67 s, and 0.75 of an aim lies within what a node's nine samples a window vary by. Now the mean latency is measured against the aim itself, and the constant is gone.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,9 +48,6 @@
 /// Multiple of what it was to take by which an attempt is overdue, and part of the aim that it has at least.
 const OVERDUE: f64 = 5.0;
 const OVERDUE_AIM: f64 = 0.25;
-/// Part of the aim over which the mean latency of all tells of a crowd: a longer one serves more of them
-/// late than it gains by fewer idle backends.
-const CROWDED: f64 = 0.75;
 /// Multiple of what is completed that a pace reaches at most.
 const PACE_MOST: f64 = 5.0;
 /// Bits of a worth that don't count in the order of waiting: those within a fifth are equals. Guards
@@ -568,7 +565,7 @@
     }
 
     /// Attempts a second that this node may start where room is too coarse: as many as are completed, times
-    /// how far their mean latency is under what tells of a crowd. Guards against a fleet that many nodes push
+    /// how far their mean latency is under the aim. Guards against a fleet that many nodes push
     /// over together, where all is served just too late. Few samples are enough, as the bound is far from
     /// what is usual. Harm: at the end of a crowd a node needs some answers until it is at its old pace.
     fn pace(&self, now: Nanos) -> f64 {
@@ -578,7 +575,7 @@
             return SECOND / self.settings.tick as f64;
         }
         let latency = self.recent.spent / self.recent.done.max(1e-9);
-        let slack = CROWDED * self.shortest_aim / latency.max(1e-9);
+        let slack = self.shortest_aim / latency.max(1e-9);
         (self.recent.done / window * slack.min(PACE_MOST)).max(1.0 / window)
     }
 
@@ -604,9 +601,10 @@
             // It has used no capacity: another may go out for it.
             _ => self.saved += 1.0,
         }
+        // Time-outs are told too late to tell of now: a few silent connections would hold the pace down.
         self.recent.spent += match outcome {
             Outcome::Ok => spent,
-            Outcome::Full | Outcome::Timeout => spent.max(self.shortest_aim),
+            Outcome::Full => spent.max(self.shortest_aim),
             _ => 0.0,
         };
         let ratio = match outcome {
