--- a/src/balance.rs
+++ b/src/balance.rs
@@ -596,17 +596,15 @@
         let base = if zone.seen < SAMPLES { self.classes[class].all.base } else { zone.base };
         let ratio = spent / base.max(1e-9);
         match outcome {
-            Outcome::Ok => self.recent.done += 1.0,
-            Outcome::Full | Outcome::Timeout => {}
+            Outcome::Ok => {
+                (self.recent.done, self.recent.spent) = (self.recent.done + 1.0, self.recent.spent + spent)
+            }
+            Outcome::Full => self.recent.spent += spent.max(self.shortest_aim),
+            // Told too late to tell of now: a few silent connections would hold the pace down.
+            Outcome::Timeout => {}
             // It has used no capacity: another may go out for it.
             _ => self.saved += 1.0,
         }
-        // Time-outs are told too late to tell of now: a few silent connections would hold the pace down.
-        self.recent.spent += match outcome {
-            Outcome::Ok => spent,
-            Outcome::Full => spent.max(self.shortest_aim),
-            _ => 0.0,
-        };
         let ratio = match outcome {
             Outcome::Ok => ratio,
             Outcome::Timeout | Outcome::Full => ratio.max(2.0 * TOLERANCE),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -55,8 +55,6 @@
     turn: u64,
     rng: Xoshiro256PlusPlus,
     fates: BTreeMap<u32, Fate>,
-    /// Times at which nodes called discovery.
-    calls: Vec<(Nanos, usize)>,
 }
 
 fn settings(nodes: usize) -> Settings {
@@ -68,7 +66,6 @@
     (settings.limits.max_attempts, settings.limits.second_copies) = (5, false);
     settings.limits.max_retry_after = 2 * SECOND;
     settings.limits.untried = 0.5;
-
     settings.rules.cold_from = 0.31;
     settings.rules.cold = 8_800 * MS;
     settings.rules.fall_multiple = 3.0;
@@ -97,14 +94,18 @@
             turn: 0,
             rng: Xoshiro256PlusPlus::seed_from_u64(20_261_201),
             fates: BTreeMap::new(),
-            calls: Vec::new(),
         };
-        for node in 0..nodes {
-            world.give(node, Event::List { kind: ListKind::Cached, backends: backends.to_vec() });
-        }
+        world.tell(ListKind::Cached, backends);
         world
     }
 
+    /// Tells every node.
+    fn tell(&mut self, kind: ListKind, backends: &[Backend]) {
+        for node in 0..self.nodes.len() {
+            self.give(node, Event::List { kind, backends: backends.to_vec() });
+        }
+    }
+
     fn unit(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
@@ -129,7 +130,6 @@
                     let attempt = usize::from(attempt);
                     self.plan(self.now, Coming::End { node, request: request.0, attempt, outcome: 3 });
                 }
-                Action::Subscribe(true) => self.calls.push((self.now, node)),
                 _ => {}
             }
         }
@@ -253,9 +253,7 @@
         backends = (30..60).map(|id| Backend { started: Some(START + 5 * SECOND), ..backend(id) }).collect();
         world.free_at.extend(backends.iter().map(|b| (b.id, START)));
         world.health = second_half_starts;
-        for node in 0..nodes {
-            world.give(node, Event::List { kind: ListKind::Delta, backends: backends.clone() });
-        }
+        world.tell(ListKind::Delta, &backends);
         // More than the warm ones bear.
         world.run(4 * SECOND, 850.0);
         let cold: BTreeMap<BackendId, Vec<Nanos>> =
@@ -292,9 +290,7 @@
         // Six in ten vanish at once, and the rest meet nearly twice what they can do.
         let gone =
             (24..60).map(|id| Backend { state: BackendState::Gone, ..backend(id) }).collect::<Vec<_>>();
-        for node in 0..nodes {
-            world.give(node, Event::List { kind: ListKind::Delta, backends: gone.clone() });
-        }
+        world.tell(ListKind::Delta, &gone);
         world.run(8 * SECOND, 1_100.0);
         let in_time = world.in_time(START + 4 * SECOND);
         assert!(in_time > 0.15, "{nodes} nodes serve {in_time:.3} in time of 0.55");
