--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -294,6 +294,11 @@
 }
 
 impl Call {
+    /// What the client's own repeats of it share, for the trace.
+    pub fn key(&self) -> &str {
+        self.head.one("idempotency-key").ok().flatten().unwrap_or("-")
+    }
+
     /// The bytes for a backend that has `left` to answer.
     pub fn bytes(&self, left: Nanos) -> Vec<u8> {
         let Start::Request { method, target } = &self.head.start else { return Vec::new() };
--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -15,7 +15,7 @@
 pub struct Clock {
     begun: Instant,
     /// Unix time at the clock's zero.
-    unix_zero: Nanos,
+    pub unix_zero: Nanos,
 }
 
 impl Clock {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -19,6 +19,8 @@
     /// The list as this node last had it; may be old.
     pub known: Update,
     pub deployment: Deployment,
+    /// Every event and decision goes to the log.
+    pub trace: bool,
 }
 
 /// Where the configuration file, read anew, has discovery. The whole file must be sound. The environment does
@@ -64,6 +66,7 @@
         memory_mb: limit("memory_mb", 192)?,
         known: root.find("known").map_or(Ok(Update::default()), |known| Update::read(&known))?,
         deployment,
+        trace: env("BALANCER_TRACE").is_some_and(|value| value == "1"),
     })
 }
 
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -162,6 +162,18 @@
         (Event::List { kind, backends }, ends)
     }
 
+    /// The entries of an update that was taken, with the numbers of their backends, for the trace.
+    pub fn lines<'a>(&'a self, update: &'a Update) -> impl Iterator<Item = String> + 'a {
+        update.entries.iter().filter_map(|entry| {
+            let (id, at) = (self.ids.get(&entry.uid)?, entry.endpoint.map_or("-".into(), |e| e.to_string()));
+            let Entry { uid, zone, kind, cell, state, boot_ms, .. } = entry;
+            Some(format!(
+                "b={} uid={uid} at={at} az={zone} model={kind} cell={cell} state={state:?} boot_ms={boot_ms}",
+                id.0
+            ))
+        })
+    }
+
     fn backend(&mut self, clock: &Clock, entry: &Entry) -> Backend {
         let id = *self.ids.entry(entry.uid.clone()).or_insert(BackendId(self.next));
         self.next += u32::from(id.0 == self.next);
--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -38,6 +38,43 @@
     }
 }
 
+/// The trace: every event and decision as a line `kitefork: trace t=UNIX_SECONDS WORD key=value ...`, without a
+/// limit. For replays; off unless `BALANCER_TRACE` is 1, and then nothing is formatted.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Trace {
+    /// Unix time at the clock's zero; `None`: off.
+    unix_zero: Option<Nanos>,
+}
+
+impl Trace {
+    pub fn new(on: bool, unix_zero: Nanos) -> Trace {
+        Trace { unix_zero: on.then_some(unix_zero) }
+    }
+
+    pub fn is_on(self) -> bool {
+        self.unix_zero.is_some()
+    }
+
+    pub fn line(self, now: Nanos, details: std::fmt::Arguments) {
+        if let Some(line) = self.format(now, details) {
+            // A closed standard error must not end the node.
+            let _ = std::io::Write::write_all(&mut std::io::stderr(), line.as_bytes());
+        }
+    }
+
+    fn format(self, now: Nanos, details: std::fmt::Arguments) -> Option<String> {
+        let at = self.unix_zero? + now;
+        Some(format!("kitefork: trace t={}.{:06} {details}\n", at / SECOND, at % SECOND / 1_000))
+    }
+}
+
+#[test]
+fn a_trace_is_off_unless_asked_for_and_tells_unix_time() {
+    assert_eq!(Trace::new(false, 5).format(SECOND, format_args!("x")), None);
+    let line = Trace::new(true, 3 * SECOND + 250_000).format(SECOND, format_args!("send id={}", 7));
+    assert_eq!(line.as_deref(), Some("kitefork: trace t=4.000250 send id=7\n"));
+}
+
 #[test]
 fn a_storm_of_one_kind_is_held_back_and_counted() {
     let mut log = Log::default();
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -22,7 +22,7 @@
 use crate::discovery::{Call, Fleet};
 use crate::fetch::{Fetch, Job, Pool};
 use crate::ledger::{Ledger, Purpose};
-use crate::log::Log;
+use crate::log::{Log, Trace};
 use crate::net;
 use crate::req::{Order, Reqs};
 use crate::ring::Budget;
@@ -69,6 +69,7 @@
     wheel: Wheel<Due>,
     epoll: OwnedFd,
     log: Log,
+    trace: Trace,
     deployment: Deployment,
     discovery: std::net::SocketAddr,
     /// `None` once no more clients are taken.
@@ -113,7 +114,9 @@
         let ledger = Ledger::new(sockets);
         let (most_sessions, most_fetches) = (ledger.most(Purpose::Session), ledger.most(Purpose::Fetch));
         let most_reqs = most_sessions.min(deployment.most_held).max(1);
-        let reqs = Reqs::new(settings, config.seed, most_reqs, now).map_err(|e| e.to_string())?;
+        let mut reqs = Reqs::new(settings, config.seed, most_reqs, now).map_err(|e| e.to_string())?;
+        let trace = Trace::new(config.trace, clock.unix_zero);
+        reqs.trace = trace;
         let wrong = |what: &'static str| move |e: Errno| format!("{what}: {e}");
         let listener =
             net::listener(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
@@ -130,6 +133,7 @@
             clock,
             epoll,
             log: Log::default(),
+            trace,
             discovery: config.discovery,
             listener: Some(listener),
             accepting: true,
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -54,6 +54,7 @@
             self.log.line(self.now, "fetches-full", format_args!("held={}", self.fetches.len()));
             return Err(Outcome::Moot);
         }
+        self.trace.line(self.now, format_args!("connect b={} held={}", backend.0, self.fetches.len()));
         let opened = net::dial(endpoint).and_then(|socket| {
             let number = self.fetches.vacant().ok_or(Errno::MFILE)?;
             epoll::add(&self.epoll, &socket, token(FETCH, number), BOTH)?;
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -50,6 +50,7 @@
     }
 
     pub(super) fn call(&mut self, watch: bool) {
+        self.trace.line(self.now, format_args!("call watch={}", u8::from(watch)));
         let opened = net::dial(self.discovery).and_then(|socket| {
             let number = self.calls.vacant().ok_or(Errno::MFILE)?;
             epoll::add(&self.epoll, &socket, token(CALL, number), BOTH)?;
@@ -89,6 +90,7 @@
             self.take_update(update, false);
         }
         if let Some(why) = news.over.filter(|_| !news.well) {
+            self.trace.line(self.now, format_args!("call-failed why={why}"));
             self.log.line(self.now, "discovery-failed", why);
             self.reqs.feed(self.now, Event::ListFailed);
         }
@@ -105,6 +107,12 @@
     pub(super) fn take_update(&mut self, update: &Update, cached: bool) {
         self.rev = update.rev;
         let (event, ends) = self.fleet.apply(self.now, &self.clock, update, cached);
+        if self.trace.is_on() {
+            self.trace.line(self.now, format_args!("told rev={} all={}", update.rev, u8::from(update.all)));
+            for line in self.fleet.lines(update) {
+                self.trace.line(self.now, format_args!("member {line}"));
+            }
+        }
         self.reqs.feed(self.now, event);
         for backend in ends {
             self.close_idle(backend);
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -206,6 +206,9 @@
         if let Some(session) = self.sessions.get_mut(number) {
             session.req = Some(req);
         }
+        if let Some(call) = self.reqs.cargo(req) {
+            self.trace.line(self.now, format_args!("took id={req} key={}", call.key()));
+        }
         self.wheel.hang(last_resort, Due::Req(req));
     }
 
--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -9,6 +9,7 @@
     SettingsError, TenantId, TimerId,
 };
 
+use crate::log::Trace;
 use crate::slots::Slots;
 
 /// A req as the client put it.
@@ -132,6 +133,7 @@
     second_copies: bool,
     slack: Nanos,
     actions: Vec<Action>,
+    pub trace: Trace,
     /// What is to be done, in the order in which it was decided.
     pub orders: VecDeque<Order>,
 }
@@ -147,6 +149,7 @@
             slack: settings.rules.answer_slack,
             balancer: Balancer::new(settings, seed, now)?,
             actions: Vec::new(),
+            trace: Trace::default(),
             orders: VecDeque::new(),
         })
     }
@@ -168,6 +171,7 @@
             last_outcome: None,
         };
         let id = self.table.insert(req).ok_or(Barred::Full)?;
+        self.trace.line(now, format_args!("req id={id} txn={} patience={}", ask.txn, ask.patience / 1_000));
         self.names.insert(ask.txn);
         let request = Request {
             id: RequestId(id),
@@ -200,6 +204,10 @@
         let served = (last && !req.over).then_some(req.owner);
         req.over |= last;
         let finished = req.over;
+        self.trace.line(
+            now,
+            format_args!("ended id={id} try={attempt} outcome={outcome:?} us={}", latency / 1_000),
+        );
         let request = RequestId(id);
         self.feed(now, Event::Outcome { request, attempt, latency, outcome, finished, load: Vec::new() });
         self.forget(id);
@@ -210,6 +218,7 @@
     pub fn gone(&mut self, now: Nanos, id: u32) {
         if let Some(req) = self.table.get_mut(id).filter(|req| !req.over) {
             req.over = true;
+            self.trace.line(now, format_args!("gone id={id}"));
             self.feed(now, Event::ClientGone { request: RequestId(id) });
             self.forget(id);
         }
@@ -231,7 +240,7 @@
     fn cut_short(&mut self, now: Nanos, id: u32, answer: Synthetic) -> bool {
         let waits = self.table.get(id).is_some_and(|req| !req.over);
         if waits {
-            self.answer(id, answer);
+            self.answer(now, id, answer);
             self.feed(now, Event::ClientGone { request: RequestId(id) });
             self.forget(id);
         }
@@ -254,14 +263,15 @@
                     moot.extend(self.send(now, request.0, backend, until));
                 }
                 Action::Refuse { request, retry_after } => {
-                    self.answer(request.0, Synthetic::Refused { retry_after });
+                    self.answer(now, request.0, Synthetic::Refused { retry_after });
                     self.forget(request.0);
                 }
                 Action::Fail { request } => {
-                    self.answer(request.0, Synthetic::Failed);
+                    self.answer(now, request.0, Synthetic::Failed);
                     self.forget(request.0);
                 }
                 Action::Cancel { request, attempt } => {
+                    self.trace.line(now, format_args!("cancel id={} try={attempt}", request.0));
                     self.orders.push_back(Order::Stop { req: request.0, attempt });
                 }
                 Action::SetTimer { at, timer } => self.orders.push_back(Order::Timer { at, timer }),
@@ -295,6 +305,10 @@
             || now > req.write_by();
         let write_by = req.write_by();
         req.attempts.push(Attempt { sent: now, outcome: None });
+        self.trace.line(
+            now,
+            format_args!("send id={id} try={attempt} b={} barred={}", backend.0, u8::from(barred)),
+        );
         if barred {
             return Some((id, attempt));
         }
@@ -304,7 +318,7 @@
 
     /// Gives the final answer, once. A refusal promises that trying again is harmless; where that is not so
     /// it becomes a failure.
-    fn answer(&mut self, id: u32, answer: Synthetic) {
+    fn answer(&mut self, now: Nanos, id: u32, answer: Synthetic) {
         let Some(req) = self.table.get_mut(id).filter(|req| !req.over) else { return };
         req.over = true;
         let answer = match answer {
@@ -315,6 +329,7 @@
             Synthetic::Failed if req.last_outcome == Some(Outcome::Timeout) => Synthetic::TimedOut,
             other => other,
         };
+        self.trace.line(now, format_args!("answer id={id} what={answer:?}"));
         self.orders.push_back(Order::Answer { owner: req.owner, answer });
     }
 
@@ -428,7 +443,7 @@
             // After a first answer nothing is decided any more, so the guard is met directly.
             reqs.table.get_mut(id).unwrap().attempts[0].outcome = Some(outcome);
             reqs.table.get_mut(id).unwrap().last_outcome = Some(outcome);
-            reqs.answer(id, Synthetic::Refused { retry_after: 0 });
+            reqs.answer(NOW, id, Synthetic::Refused { retry_after: 0 });
             assert_eq!(answers(&mut reqs), [wanted], "{effect:?} {outcome:?}");
         }
     }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -123,6 +123,11 @@
     }
 
     pub fn with(change: impl Fn(String) -> String) -> World {
+        World::told(change, &[])
+    }
+
+    /// Starts it with these variables in its environment too.
+    pub fn told(change: impl Fn(String) -> String, variables: &[(&str, &str)]) -> World {
         let (discovery, backend) = (Party::new(), Party::new());
         let config = format!(
             r#"{{"name":"t1","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f","limits":{{"sockets":128}},
@@ -138,7 +143,9 @@
             entry("s-1", backend.address(), "Ready")
         );
         let config = change(config);
-        let mut node = run(&config, &[("BALANCER_DISCOVERY", discovery.address())]);
+        let address = discovery.address().to_string();
+        let variables = [&[("BALANCER_DISCOVERY", address.as_str())], variables].concat();
+        let mut node = run(&config, &variables);
         let mut log = BufReader::new(node.stderr.take().unwrap());
         let line = next_line(&mut log);
         let address = line.strip_prefix("kitefork: start name=t1 listen=").and_then(|l| l.split(' ').next());
@@ -164,6 +171,14 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.node.id())).unwrap().count()
     }
 
+    /// Ends the node; gives what the log still held.
+    pub fn last_log(mut self) -> String {
+        self.terminate();
+        let mut lines = String::new();
+        self.log.read_to_string(&mut lines).unwrap();
+        lines
+    }
+
     pub fn terminate(&self) {
         self.signal(rustix::process::Signal::TERM);
     }
@@ -203,13 +218,13 @@
     folder.join(unique.replace(['(', ')'], ""))
 }
 
-/// Runs the program with this configuration, and addresses in its environment.
-pub fn run(config: &str, addresses: &[(&str, SocketAddr)]) -> Child {
+/// Runs the program with this configuration, and variables in its environment.
+pub fn run(config: &str, variables: &[(&str, &str)]) -> Child {
     std::fs::write(config_path(), config).unwrap();
     Command::new(env!("CARGO_BIN_EXE_kitefork"))
         .env_clear()
         .env("BALANCER_CONFIG", config_path())
-        .envs(addresses.iter().map(|(name, address)| (name, address.to_string())))
+        .envs(variables.iter().copied())
         .stderr(Stdio::piped())
         .spawn()
         .unwrap()
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -454,6 +454,30 @@
     assert!(next.is_quiet());
 }
 
+#[test]
+fn the_trace_tells_each_event_and_decision_where_it_is_asked_for_and_else_nothing() {
+    for (value, traced) in [("1", true), ("0", false)] {
+        let world = World::told(|config| config, &[("BALANCER_TRACE", value)]);
+        let mut client = world.client();
+        client.send(&report("t1", 5000));
+        let mut backend = world.backend.wait();
+        backend.expect("body");
+        backend.serve("200 OK", "told");
+        client.expect("told");
+        let log = world.last_log();
+        for part in [
+            "member b=0 uid=s-1 at=127.0.0.1:",
+            "req id=1 txn=t1 patience=5000000\n",
+            "send id=1 try=0 b=0 barred=0\n",
+            "connect b=0 held=0\n",
+            "took id=1 key=kt1\n",
+            "ended id=1 try=0 outcome=Ok us=",
+        ] {
+            assert_eq!(log.contains(part), traced, "{part} in {log}");
+        }
+    }
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_and_no_start() {
     let mut node = run(r#"{"seed":"1"}"#, &[]);
