--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -38,8 +38,8 @@
     }
 }
 
-/// The trace: every event and decision as a line `kitefork: trace t=UNIX_SECONDS WORD key=value ...`, without a
-/// limit. For replays; off unless `BALANCER_TRACE` is 1, and then nothing is formatted.
+/// The trace: every event and decision as a line `kitefork: trace t=UNIX_SECONDS WORD key=value ...`, without
+/// a limit. For replays; off unless `BALANCER_TRACE` is 1, and then nothing is formatted.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Trace {
     /// Unix time at the clock's zero; `None`: off.
