--- a/src/balance.rs
+++ b/src/balance.rs
@@ -356,8 +356,7 @@
         let lambda = self.lambda(now) * self.siblings * slot;
         let (priors, against) = self.priors(seconds);
         let starved = self.starved(now);
-        let fails_open = self.fails_open(now);
-        self.failed_open = fails_open;
+        self.failed_open = self.fails_open(now);
         let members = self.members(now);
         let warm: f64 = members.iter().map(|id| self.warmth(now, &self.servers[id])).sum();
         self.per_backend = self.lambda(now) / warm.max(1e-9);
@@ -367,8 +366,8 @@
         let mut warmths = Vec::with_capacity(self.servers.len());
         let mut credits = Vec::with_capacity(self.servers.len());
         for (server, (prior, usual)) in self.servers.values().zip(&priors) {
-            let usable =
-                server.entry.state == BackendState::Ready && (server.ejected_until <= now || fails_open);
+            let usable = server.entry.state == BackendState::Ready
+                && (server.ejected_until <= now || self.failed_open);
             // Silence: what attempts out have waited joins L as a censored sample.
             let waited = server.out * seconds - server.out_sent;
             let latency = (server.spent + waited + PRIOR * prior) / (server.done + PRIOR);
@@ -417,8 +416,7 @@
             let clock = now.saturating_sub(since) as f64 / self.settings.tick as f64 + std::f64::consts::E;
             server.explore = unknown * warmths[place] * clock.ln() / clock / (1.0 + server.streak);
             server.cold_credit = credits[place];
-            let near = server.entry.zone == self.settings.zone;
-            server.share = shares[place] * if near { 1.0 } else { spill };
+            server.share = shares[place] * if near(server) { 1.0 } else { spill };
         }
         self.split_at = now;
         self.stale = false;
@@ -433,16 +431,19 @@
     /// The backends of each zone that this node can come to know: the first in its own order, as many as get
     /// the completions that tell an outlier within the longest memory. Guards against starved estimates and
     /// a handshake for every request; nodes have other orders, so together they cover the fleet. All backends
-    /// where completions are plenty. Harm: a node's few may be struck together, then it draws among the rest.
+    /// where completions are plenty. Where crossing costs, little goes to other zones: together they have
+    /// what home has. Harm: a node's few may be struck together, then it draws among the rest.
     fn members(&self, now: Nanos) -> BTreeSet<BackendId> {
-        let rate = self.sends / self.age(now);
-        let count = (rate * MEMORY_AIMS * self.longest_aim / OUTLIER_FAILURES).max(OUTLIER_FAILURES);
+        let count = self.sends / self.age(now) * MEMORY_AIMS * self.longest_aim / OUTLIER_FAILURES;
         let usable = |s: &&Server| s.ejected_until <= now || self.failed_open;
         let mut order: Vec<(ZoneId, u64, BackendId)> =
             self.ready().filter(usable).map(|s| (s.entry.zone, s.order, s.entry.id)).collect();
         order.sort_unstable();
-        let zones = order.chunk_by(|a, b| a.0 == b.0);
-        zones.flat_map(|zone| zone.iter().take(count.ceil() as usize)).map(|place| place.2).collect()
+        let zones: Vec<_> = order.chunk_by(|a, b| a.0 == b.0).collect();
+        let others = if self.settings.cross_zone_price > 0.0 { zones.len() as f64 - 1.0 } else { 1.0 };
+        let share = |zone: ZoneId| if zone == self.settings.zone { 1.0 } else { others.max(1.0) };
+        let most = |zone: ZoneId| (count / share(zone)).max(OUTLIER_FAILURES).ceil() as usize;
+        zones.iter().flat_map(|zone| zone.iter().take(most(zone[0].0))).map(|place| place.2).collect()
     }
 
     /// Latency that an estimate leans to, and that of its kind, for each backend: the fleet's, times what is
@@ -906,8 +907,7 @@
     fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id).filter(|o| !o.finished) else { return };
         if self.may_refuse(open) {
-            let retry_after = self.settings.limits.max_retry_after;
-            actions.push(Action::Refuse { request: id, retry_after });
+            actions.push(Action::Refuse { request: id, retry_after: self.settings.limits.max_retry_after });
         } else {
             actions.push(Action::Fail { request: id });
         }
--- a/src/balance_tests.rs
+++ b/src/balance_tests.rs
@@ -64,3 +64,91 @@
     balancer.recent = Pool { done: pace * 0.6, spent: pace * 0.6 * 0.05 };
     assert!(balancer.pace(2_000 * MS) > 25.0, "{}", balancer.pace(2_000 * MS));
 }
+
+#[test]
+fn tables_stay_small_while_thousands_of_backends_come_and_go() {
+    const MS: Nanos = 1_000_000;
+    let class = Class { aim: 300 * MS, deadline: 1_600 * MS, ..Class::default() };
+    let mut settings = Settings { classes: vec![class], siblings: 300, ..Settings::default() };
+    settings.rules.drain_close = Some(2_000 * MS);
+    let mut balancer = Balancer::new(settings, 7, 0).unwrap();
+    let (mut now, mut actions, mut most) = (0, Vec::new(), [0; 4]);
+    for turn in 0..20_000 {
+        now += 10 * MS;
+        if turn % 50 == 0 {
+            // Ten new ones, each in a cell and of a kind of its own, and the ten before them are gone.
+            let (state, label) = (BackendState::Ready, |id: u32| (id % 1_000) as u16);
+            let backends = (turn / 5..turn / 5 + 10).map(|id| {
+                let (id, cell, kind) = (BackendId(id), CellId(label(id)), KindId(label(id)));
+                Backend { id, cell, kind, state, ..Backend::default() }
+            });
+            balancer.handle(
+                now,
+                Event::List { kind: ListKind::Full, backends: backends.collect() },
+                &mut actions,
+            );
+        }
+        let request = Request {
+            id: RequestId(turn),
+            class: ClassId(0),
+            tenant: TenantId(0),
+            key: u64::from(turn),
+            patience: 1_600 * MS,
+            work_hint: None,
+            client_retry: false,
+            write: true,
+        };
+        balancer.handle(now, Event::Request(request), &mut actions);
+        // Every seventh attempt is never heard of again until its client leaves.
+        let sent: Vec<RequestId> = actions
+            .drain(..)
+            .filter_map(|action| match action {
+                Action::Send { request, .. } if request.0 % 7 != 0 => Some(request),
+                _ => None,
+            })
+            .collect();
+        for request in sent {
+            let (latency, outcome, load) = (5 * MS, Outcome::Ok, Vec::new());
+            let ended = Event::Outcome { request, attempt: 0, latency, outcome, finished: true, load };
+            balancer.handle(now + 5 * MS, ended, &mut actions);
+        }
+        if let Some(left) = turn.checked_sub(160) {
+            for attempt in 0..5 {
+                let (latency, outcome, load) = (1_600 * MS, Outcome::Timeout, Vec::new());
+                let request = RequestId(left);
+                let ended = Event::Outcome { request, attempt, latency, outcome, finished: true, load };
+                balancer.handle(now, ended, &mut actions);
+            }
+        }
+        let sizes =
+            [balancer.servers.len(), balancer.open.len(), balancer.agenda.len(), balancer.kinds.len()];
+        most = std::array::from_fn(|place| most[place].max(sizes[place]));
+    }
+    // Four seconds of attempts and of closes to come at the very most, and a kind for each name there can be.
+    let [servers, open, agenda, kinds] = most;
+    assert!(servers <= 60 && open <= 200 && agenda <= 2_000 && kinds <= 1_000, "{most:?}");
+}
+
+#[test]
+fn where_crossing_costs_a_node_knows_as_many_backends_abroad_as_at_home() {
+    let class = Class { aim: 300_000_000, deadline: 1_600_000_000, ..Class::default() };
+    for (price, abroad) in [(0.03, 4 * 4), (0.0, 4 * 15)] {
+        let settings = Settings {
+            classes: vec![class.clone()],
+            siblings: 300,
+            cross_zone_price: price,
+            ..Settings::default()
+        };
+        let mut balancer = Balancer::new(settings, 7, 0).unwrap();
+        let (zone, state) = (|id: u32| ZoneId((id % 5) as u16), BackendState::Ready);
+        let backends =
+            (0..200).map(|id| Backend { id: BackendId(id), zone: zone(id), state, ..Backend::default() });
+        let list = Event::List { kind: ListKind::Full, backends: backends.collect() };
+        balancer.handle(1, list, &mut Vec::new());
+        // Fifteen a second for twenty seconds.
+        balancer.sends = 300.0;
+        let known = balancer.members(20_000_000_000);
+        let home = known.iter().filter(|id| zone(id.0) == ZoneId(0)).count();
+        assert_eq!((home, known.len() - home), (15, abroad));
+    }
+}
