--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -478,6 +478,87 @@
     }
 }
 
+#[test]
+fn a_node_whose_discovery_is_down_busy_or_silent_at_start_serves_from_the_list_it_was_given() {
+    for answer in [None, Some("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"), Some("")] {
+        let world = World::start();
+        let mut call = world.discovery.wait();
+        call.expect("after=7 ");
+        match answer {
+            Some(answer) => drop(call.send(answer)),
+            None => call.close(),
+        }
+        let mut client = world.client();
+        client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+        client.send(&report("u", 5000));
+        let mut backend = world.backend.wait();
+        backend.expect("body");
+        backend.serve("200 OK", "served");
+        client.expect("served");
+        if answer != Some("") {
+            world.discovery.wait().expect("after=7 ");
+        }
+    }
+}
+
+#[test]
+fn a_change_of_many_backends_that_breaks_off_leaves_the_old_list_until_it_comes_whole() {
+    let mut world = World::start();
+    let elsewhere = Party::new();
+    // Thousands that come and go beside the one that counts.
+    let mut entries: Vec<String> =
+        (0..5000).map(|n| entry(&format!("x-{n}"), elsewhere.address(), "Gone")).collect();
+    entries.push(entry("s-1", world.backend.address(), "Terminating"));
+    entries.push(entry("s-2", elsewhere.address(), "Ready"));
+    let whole = changes(9, &entries);
+    let mut watch = world.discovery.wait();
+    watch.send(&whole[..whole.len() / 2]);
+    watch.close();
+    let log = world.expect_log("discovery-failed");
+    assert_eq!(log.matches("discovery-failed").count(), 1, "{log}");
+    let mut client = world.client();
+    client.send(&report("v1", 5000));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    backend.serve("200 OK", "old");
+    client.expect("old");
+    let mut again = world.discovery.wait();
+    again.expect("after=7 ");
+    again.send(&whole);
+    // Its idle connection ends once the change is taken.
+    backend.expect_end();
+    client.send(&report("v2", 5000));
+    let mut backend = elsewhere.wait();
+    backend.expect("body");
+    backend.serve("200 OK", "new");
+    client.expect("new");
+}
+
+#[test]
+fn a_backend_that_comes_back_at_its_address_under_a_new_uid_gets_a_new_connection() {
+    let world = World::start();
+    let mut watch = world.discovery.wait();
+    let mut client = world.client();
+    let mut lines = Vec::new();
+    for (rev, old, new) in [(8, "s-1", "s-2"), (9, "s-2", "s-3")] {
+        client.send(&report(new, 5000));
+        let mut backend = world.backend.wait();
+        backend.expect("body");
+        backend.serve("200 OK", new);
+        client.expect(new);
+        let address = world.backend.address();
+        let change = changes(rev, &[entry(old, address, "Gone"), entry(new, address, "Ready")]);
+        match rev {
+            8 => drop(watch.send(&change)),
+            _ => drop(watch.send(&change["HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".len()..])),
+        }
+        backend.expect_end();
+        lines.push(backend);
+    }
+    client.send(&report("last", 5000));
+    world.backend.wait().expect("x-txn: last\r\n");
+}
+
 #[test]
 fn a_bad_configuration_is_one_line_and_no_start() {
     let mut node = run(r#"{"seed":"1"}"#, &[]);
