--- a/src/balance.rs
+++ b/src/balance.rs
@@ -429,12 +429,12 @@
     }
 
     /// The backends of each zone that this node can come to know: the first in its own order, as many as get
-    /// the completions that tell an outlier within the longest memory. Guards against starved estimates and
+    /// the completions that an estimate wants within the longest memory. Guards against starved estimates and
     /// a handshake for every request; nodes have other orders, so together they cover the fleet. All backends
     /// where completions are plenty. Where crossing costs, little goes to other zones: together they have
     /// what home has. Harm: a node's few may be struck together, then it draws among the rest.
     fn members(&self, now: Nanos) -> BTreeSet<BackendId> {
-        let count = self.sends / self.age(now) * MEMORY_AIMS * self.longest_aim / OUTLIER_FAILURES;
+        let count = self.sends / self.age(now) * MEMORY_AIMS * self.longest_aim / MEMORY;
         let usable = |s: &&Server| s.ejected_until <= now || self.failed_open;
         let mut order: Vec<(ZoneId, u64, BackendId)> =
             self.ready().filter(usable).map(|s| (s.entry.zone, s.order, s.entry.id)).collect();
