--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -54,6 +54,8 @@
     coming: BinaryHeap<Reverse<(Nanos, u64, Coming)>>,
     turn: u64,
     rng: Xoshiro256PlusPlus,
+    /// The first node gets this many times the mean more than the others.
+    busier: u64,
     fates: BTreeMap<u32, Fate>,
 }
 
@@ -93,6 +95,7 @@
             coming: BinaryHeap::new(),
             turn: 0,
             rng: Xoshiro256PlusPlus::seed_from_u64(20_261_201),
+            busier: 0,
             fates: BTreeMap::new(),
         };
         world.tell(ListKind::Cached, backends);
@@ -193,7 +196,8 @@
     }
 
     fn ask(&mut self) {
-        let node = (self.rng.next_u64() % self.nodes.len() as u64) as usize;
+        let ticket = self.rng.next_u64() % (self.nodes.len() as u64 + self.busier);
+        let node = ticket.saturating_sub(self.busier) as usize;
         let id = self.fates.len() as u32;
         self.fates.insert(id, Fate { node, asked: self.now, served: None, attempts: Vec::new() });
         let request = Request {
@@ -325,3 +329,24 @@
         assert!(world.in_time(since) > if nodes > 100 { 0.88 } else { 0.9 });
     }
 }
+
+#[test]
+fn a_node_at_five_times_the_mean_holds_nothing_back_and_every_backend_is_reached() {
+    for nodes in [10, 100, 300] {
+        let backends: Vec<Backend> = (0..60).map(backend).collect();
+        let mut world = World::new(nodes, &backends);
+        world.busier = 4;
+        world.run(12 * SECOND, 900.0);
+        let settled = START + 4 * SECOND;
+        let (mut all, mut held, mut reached) = (0, 0, std::collections::BTreeSet::new());
+        for fate in world.asked(settled) {
+            reached.extend(fate.attempts.iter().map(|attempt| attempt.1));
+            if fate.node == 0 {
+                all += 1;
+                held += u32::from(fate.attempts.first().is_none_or(|first| first.0 > fate.asked));
+            }
+        }
+        assert!(all > 90 && 20 * held < all, "of {nodes} nodes the busiest holds back {held} of {all}");
+        assert_eq!(reached.len(), 60, "{nodes} nodes leave some backends without a req");
+    }
+}
