One place for a failed discovery call; no header look-up without a trace

Read again: the two places where a call to discovery fails wrote the same log line and event, and only one of them was traced, so a call that could not be started was missing from fleet_log.py's call-failed. call_failed serves both. open_req looked the Idempotency-Key up for every req, trace or not: format_args takes its arguments at once.

--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -60,11 +60,16 @@
             Ok(())
         });
         if let Err(error) = opened {
-            self.log.line(self.now, "discovery-failed", error);
-            self.reqs.feed(self.now, Event::ListFailed);
+            self.call_failed(error);
         }
     }
 
+    fn call_failed(&mut self, why: impl std::fmt::Display) {
+        self.trace.line(self.now, format_args!("call-failed why={why}"));
+        self.log.line(self.now, "discovery-failed", why);
+        self.reqs.feed(self.now, Event::ListFailed);
+    }
+
     pub(super) fn read_call(&mut self, number: u32, flags: EventFlags) {
         let Some(call) = self.calls.get_mut(number) else { return };
         if flags.intersects(EventFlags::OUT) && !call.outbox.is_empty() {
@@ -90,9 +95,7 @@
             self.take_update(update, false);
         }
         if let Some(why) = news.over.filter(|_| !news.well) {
-            self.trace.line(self.now, format_args!("call-failed why={why}"));
-            self.log.line(self.now, "discovery-failed", why);
-            self.reqs.feed(self.now, Event::ListFailed);
+            self.call_failed(why);
         }
     }
 
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -206,7 +206,10 @@
         if let Some(session) = self.sessions.get_mut(number) {
             session.req = Some(req);
         }
-        if let Some(call) = self.reqs.cargo(req) {
+        // The key is looked up among the headers: only for a trace.
+        if self.trace.is_on()
+            && let Some(call) = self.reqs.cargo(req)
+        {
             self.trace.line(self.now, format_args!("took id={req} key={}", call.key()));
         }
         self.wheel.hang(last_resort, Due::Req(req));
--- a/tools/fleet_log.py
+++ b/tools/fleet_log.py
@@ -48,6 +48,13 @@
                 yield float(found[1]), f"{path.stem}/{life}", word, fields | {"names": names}
 
 
+def from_start(folder):
+    """All events by their time since the first one."""
+    every = list(events(folder))
+    start = min((at for at, *_ in every), default=0)
+    return [(at - start, *rest) for at, *rest in every]
+
+
 def table(rows, columns):
     widths = [max(len(str(row.get(c, 0))) for row in [*rows, {c: c}]) for c in columns]
     for row in [{c: c for c in columns}, *rows]:
@@ -69,21 +76,17 @@
 
 
 def seconds(folder):
-    rows, start = collections.defaultdict(collections.Counter), None
-    every = list(events(folder))
-    start = min((e[0] for e in every), default=0)
-    for at, _, word, fields in every:
-        rows[int(at - start)][kind(word, fields)] += 1
+    rows = collections.defaultdict(collections.Counter)
+    for at, _, word, fields in from_start(folder):
+        rows[int(at)][kind(word, fields)] += 1
     table([{"s": s, **rows[s]} for s in sorted(rows)], ["s", *COLUMNS])
 
 
 def backends(folder, since=0.0, until=1e18):
     rows, nodes, spent = collections.defaultdict(collections.Counter), collections.defaultdict(set), collections.Counter()
-    every = list(events(folder))
-    start = min((e[0] for e in every), default=0)
-    for at, node, word, fields in every:
+    for at, node, word, fields in from_start(folder):
         uid = fields.get("uid")
-        if uid is None or word == "member" or not since <= at - start < until:
+        if uid is None or word == "member" or not since <= at < until:
             continue
         rows[uid][kind(word, fields)] += 1
         nodes[uid].add(node)
@@ -101,9 +104,11 @@
 def news(folder):
     told, nodes = collections.defaultdict(dict), set()
     for at, node, word, fields in events(folder):
-        nodes.add(node.split("/")[0])
+        # The same node after a restart is told anew, which is no later news.
+        node = node.split("/")[0]
+        nodes.add(node)
         if word == "member":
-            told[fields["uid"], fields["state"], fields["boot_ms"]].setdefault(node.split("/")[0], at)
+            told[fields["uid"], fields["state"], fields["boot_ms"]].setdefault(node, at)
     rows = []
     for (uid, state, _), times in told.items():
         times = sorted(times.values())
