Tests share a default req, a node of many, and the chunks of a watch

The same Request was written out in four places: Request and its ids have a default now, as Backend and Class do. balance_tests.rs builds its settings and reqs once, fleet.rs asks Fate::held, and the scenarios take the head of a watch and further changes from common instead of cutting one string apart.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -101,10 +101,18 @@
     )
 }
 
+/// The head of discovery's answer to a watch.
+pub const WATCH: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// Discovery's answer to a watch, up to one object with these changes.
 pub fn changes(rev: u32, entries: &[String]) -> String {
+    WATCH.to_string() + &more_changes(rev, entries)
+}
+
+/// One more object of a watch that has begun.
+pub fn more_changes(rev: u32, entries: &[String]) -> String {
     let line = format!(r#"{{"rev":{rev},"all":false,"targets":[{}]}}"#, entries.join(",")).replace('\n', "");
-    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\n\r\n", line.len() + 1)
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
 }
 
 pub struct World {
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Party, World, changes, entry, report, run};
+use common::{Party, WATCH, World, changes, entry, more_changes, report, run};
 
 #[test]
 fn a_req_passes_unchanged_and_its_answer_too_on_one_connection_each() {
@@ -273,7 +273,7 @@
 fn a_watch_that_falls_silent_is_opened_anew() {
     let mut world = World::start();
     let mut watch = world.discovery.wait();
-    watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    watch.send(WATCH).send("1\r\n\n\r\n");
     world.expect_log("discovery-failed silent");
     world.discovery.wait().expect("after=7 ");
 }
@@ -356,7 +356,6 @@
 fn the_watch_is_resumed_after_a_bad_line_and_moves_reqs_to_new_backends() {
     let mut world = World::start();
     let chunk = |line: &str| format!("{:x}\r\n{line}\r\n", line.len());
-    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let mut watch = world.discovery.wait();
     assert!(watch.expect("\r\n\r\n").starts_with("GET /catalog/members?watch=1&after=7 HTTP/1.1\r\n"));
     let other = Party::new();
@@ -365,7 +364,7 @@
     let line = format!("{{\"rev\":9,\"all\":false,\"targets\":[{}]}}\n", change.replace('\n', ""));
     // Cut in the middle: a line is read when its end has come.
     let (one, two) = line.split_at(60);
-    watch.send(head).send(&chunk("\n")).send(&chunk(one)).send(&chunk(two)).send(&chunk("{\"rev\":\n"));
+    watch.send(WATCH).send(&chunk("\n")).send(&chunk(one)).send(&chunk(two)).send(&chunk("{\"rev\":\n"));
     world.expect_log("discovery-failed not JSON");
     watch.expect_end();
     let mut again = world.discovery.wait();
@@ -448,7 +447,7 @@
     watch.expect("after=7 ");
     world.expect_log("reload discovery=");
     // The backoff has passed when this silence has, and the next one has not.
-    watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+    watch.send(WATCH).send("1\r\n\n\r\n");
     world.expect_log("discovery-failed silent");
     watch.expect_end();
     assert!(next.is_quiet());
@@ -538,8 +537,8 @@
 fn a_backend_that_comes_back_at_its_address_under_a_new_uid_gets_a_new_connection() {
     let world = World::start();
     let mut watch = world.discovery.wait();
+    watch.send(WATCH);
     let mut client = world.client();
-    let mut lines = Vec::new();
     for (rev, old, new) in [(8, "s-1", "s-2"), (9, "s-2", "s-3")] {
         client.send(&report(new, 5000));
         let mut backend = world.backend.wait();
@@ -547,13 +546,8 @@
         backend.serve("200 OK", new);
         client.expect(new);
         let address = world.backend.address();
-        let change = changes(rev, &[entry(old, address, "Gone"), entry(new, address, "Ready")]);
-        match rev {
-            8 => drop(watch.send(&change)),
-            _ => drop(watch.send(&change["HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".len()..])),
-        }
+        watch.send(&more_changes(rev, &[entry(old, address, "Gone"), entry(new, address, "Ready")]));
         backend.expect_end();
-        lines.push(backend);
     }
     client.send(&report("last", 5000));
     world.backend.wait().expect("x-txn: last\r\n");
--- a/src/balance_tests.rs
+++ b/src/balance_tests.rs
@@ -4,6 +4,18 @@
 use crate::interface::*;
 use crate::state::Pool;
 
+const MS: Nanos = 1_000_000;
+/// A node of three hundred, of whose backends each gets little.
+fn one_of_many() -> Settings {
+    let class = Class { aim: 300 * MS, deadline: 1_600 * MS, ..Class::default() };
+    Settings { classes: vec![class], siblings: 300, ..Settings::default() }
+}
+
+fn request(id: u32) -> Event {
+    let (id, patience) = (RequestId(id), 1_600 * MS);
+    Event::Request(Request { id, key: u64::from(id.0), patience, write: true, ..Request::default() })
+}
+
 fn near(found: &[f64], wanted: &[f64]) {
     assert!(found.iter().zip(wanted).all(|(a, b)| (a - b).abs() < 1e-9), "{found:?} {wanted:?}");
 }
@@ -40,23 +52,10 @@
 
 #[test]
 fn a_node_that_completes_little_still_starts_a_part_of_what_comes() {
-    const MS: Nanos = 1_000_000;
-    let class = Class { aim: 300 * MS, deadline: 1_600 * MS, ..Class::default() };
-    let settings = Settings { classes: vec![class], siblings: 300, ..Settings::default() };
-    let mut balancer = Balancer::new(settings, 7, 0).unwrap();
+    let mut balancer = Balancer::new(one_of_many(), 7, 0).unwrap();
     // Thirty a second, and no backend takes any.
     for turn in 0..60 {
-        let request = Request {
-            id: RequestId(turn),
-            class: ClassId(0),
-            tenant: TenantId(0),
-            key: 0,
-            patience: 1_600 * MS,
-            work_hint: None,
-            client_retry: false,
-            write: true,
-        };
-        balancer.handle((1 + Nanos::from(turn) * 33) * MS, Event::Request(request), &mut Vec::new());
+        balancer.handle((1 + Nanos::from(turn) * 33) * MS, request(turn), &mut Vec::new());
     }
     let pace = balancer.pace(2_000 * MS);
     assert!((4.0..8.0).contains(&pace), "{pace} of 30 a second");
@@ -67,9 +66,7 @@
 
 #[test]
 fn tables_stay_small_while_thousands_of_backends_come_and_go() {
-    const MS: Nanos = 1_000_000;
-    let class = Class { aim: 300 * MS, deadline: 1_600 * MS, ..Class::default() };
-    let mut settings = Settings { classes: vec![class], siblings: 300, ..Settings::default() };
+    let mut settings = one_of_many();
     settings.rules.drain_close = Some(2_000 * MS);
     let mut balancer = Balancer::new(settings, 7, 0).unwrap();
     let (mut now, mut actions, mut most) = (0, Vec::new(), [0; 4]);
@@ -88,17 +85,7 @@
                 &mut actions,
             );
         }
-        let request = Request {
-            id: RequestId(turn),
-            class: ClassId(0),
-            tenant: TenantId(0),
-            key: u64::from(turn),
-            patience: 1_600 * MS,
-            work_hint: None,
-            client_retry: false,
-            write: true,
-        };
-        balancer.handle(now, Event::Request(request), &mut actions);
+        balancer.handle(now, request(turn), &mut actions);
         // Every seventh attempt is never heard of again until its client leaves.
         let sent: Vec<RequestId> = actions
             .drain(..)
@@ -131,14 +118,8 @@
 
 #[test]
 fn a_node_knows_as_many_backends_as_it_can_estimate_and_abroad_no_more_than_at_home() {
-    let class = Class { aim: 300_000_000, deadline: 1_600_000_000, ..Class::default() };
     for (price, abroad) in [(0.03, 4 * 4), (0.0, 4 * 15)] {
-        let settings = Settings {
-            classes: vec![class.clone()],
-            siblings: 300,
-            cross_zone_price: price,
-            ..Settings::default()
-        };
+        let settings = Settings { cross_zone_price: price, ..one_of_many() };
         let mut balancer = Balancer::new(settings, 7, 0).unwrap();
         let (zone, state) = (|id: u32| ZoneId((id % 5) as u16), BackendState::Ready);
         let backends =
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,13 +9,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BackendId(pub u32);
 /// A request, unique at one proxy.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u32);
 /// Place of a class in [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub u16);
 /// Place of a tenant in [`Settings::tenants`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TenantId(pub u16);
 /// A zone: backends and proxies of one room or site.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -240,7 +240,7 @@
 }
 
 /// A request of a client.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Request {
     /// Its id.
     pub id: RequestId,
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -45,16 +45,8 @@
 }
 
 fn request(id: u32, class: u16) -> Event {
-    Event::Request(Request {
-        id: RequestId(id),
-        class: ClassId(class),
-        tenant: TenantId(0),
-        key: 0,
-        patience: 800 * MS,
-        work_hint: None,
-        client_retry: false,
-        write: false,
-    })
+    let (id, class) = (RequestId(id), ClassId(class));
+    Event::Request(Request { id, class, patience: 800 * MS, ..Request::default() })
 }
 
 /// Feeds events and keeps what is out; timers fire when due.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 //! A deterministic world of backends that work first come, first served; no sockets and no wall clock.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use kitefork::*;
 use rand_core::{RngCore, SeedableRng};
@@ -45,6 +45,13 @@
     attempts: Vec<(Nanos, BackendId, bool)>,
 }
 
+impl Fate {
+    /// It was not started at once.
+    fn held(&self) -> bool {
+        self.attempts.first().is_none_or(|first| first.0 > self.asked)
+    }
+}
+
 struct World {
     nodes: Vec<Balancer>,
     /// For each backend: when it has worked off what it holds.
@@ -200,16 +207,8 @@
         let node = ticket.saturating_sub(self.busier) as usize;
         let id = self.fates.len() as u32;
         self.fates.insert(id, Fate { node, asked: self.now, served: None, attempts: Vec::new() });
-        let request = Request {
-            id: RequestId(id),
-            class: ClassId(0),
-            tenant: TenantId(0),
-            key: 0,
-            patience: 1_600 * MS,
-            work_hint: None,
-            client_retry: false,
-            write: true,
-        };
+        let (id, patience) = (RequestId(id), 1_600 * MS);
+        let request = Request { id, patience, write: true, ..Request::default() };
         self.give(node, Event::Request(request));
     }
 
@@ -233,8 +232,8 @@
         // 60 backends do 1,500 a second.
         world.run(12 * SECOND, 750.0);
         let settled = START + 4 * SECOND;
-        let held = |fate: &&Fate| fate.attempts.first().is_none_or(|first| first.0 > fate.asked);
-        let held = world.asked(settled).filter(held).count() as f64 / world.asked(settled).count() as f64;
+        let held = world.asked(settled).filter(|fate| fate.held()).count() as f64
+            / world.asked(settled).count() as f64;
         let in_time = world.in_time(settled);
         assert!(held < 0.05, "{nodes} nodes hold back {held:.3}");
         assert!(in_time > 0.95, "{nodes} nodes serve {in_time:.3} in time");
@@ -338,12 +337,12 @@
         world.busier = 4;
         world.run(12 * SECOND, 900.0);
         let settled = START + 4 * SECOND;
-        let (mut all, mut held, mut reached) = (0, 0, std::collections::BTreeSet::new());
+        let (mut all, mut held, mut reached) = (0, 0, BTreeSet::new());
         for fate in world.asked(settled) {
             reached.extend(fate.attempts.iter().map(|attempt| attempt.1));
             if fate.node == 0 {
                 all += 1;
-                held += u32::from(fate.attempts.first().is_none_or(|first| first.0 > fate.asked));
+                held += u32::from(fate.held());
             }
         }
         assert!(all > 90 && 20 * held < all, "of {nodes} nodes the busiest holds back {held} of {all}");
