--- /dev/null
+++ b/ground/src/lib.rs
@@ -0,0 +1,166 @@
+//! What the decisions stand on and what decides nothing itself: an ordered agenda and moving means. No I/O, no
+//! clock; equal calls give equal results.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use std::collections::BTreeSet;
+
+/// Tasks by the time at which they are due, with the one timer that is waited for. Times are nanoseconds.
+#[derive(Debug)]
+pub struct Agenda<T> {
+    tasks: BTreeSet<(u64, T)>,
+    armed: Option<(u64, u32)>,
+    timers: u32,
+}
+
+impl<T> Default for Agenda<T> {
+    fn default() -> Self {
+        Agenda { tasks: BTreeSet::new(), armed: None, timers: 0 }
+    }
+}
+
+impl<T: Ord + Copy> Agenda<T> {
+    /// Adds a task; the same one at the same time stands once.
+    pub fn add(&mut self, at: u64, task: T) {
+        self.tasks.insert((at, task));
+    }
+
+    /// How many tasks it holds.
+    pub fn len(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// It holds none.
+    pub fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+    }
+
+    /// Takes the first task that is due at `now`. Tasks of one time come in their own order.
+    pub fn due(&mut self, now: u64) -> Option<T> {
+        let first = self.tasks.first().copied().filter(|(at, _)| *at <= now)?;
+        self.tasks.remove(&first);
+        Some(first.1)
+    }
+
+    /// Time and number of the timer to be set, if the next task comes before the one that is waited for.
+    /// A timer that was set before is superseded and never needs to be taken back.
+    pub fn arm(&mut self) -> Option<(u64, u32)> {
+        let at = self.tasks.first()?.0;
+        if self.armed.is_some_and(|armed| armed.0 <= at) {
+            return None;
+        }
+        self.timers = self.timers.wrapping_add(1);
+        self.armed = Some((at, self.timers));
+        self.armed
+    }
+
+    /// A timer has fired. It is known by its number, not its time: a clock that rounds may bring it early.
+    pub fn fired(&mut self, timer: u32) {
+        self.armed = self.armed.filter(|armed| armed.1 != timer);
+    }
+}
+
+/// A mean over the last `window` values or so, and the least that it was since the window was first full.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Mean {
+    /// The moving mean.
+    pub mean: f64,
+    /// How many values are in it, up to its window.
+    pub seen: f64,
+    /// The mean in the best of times.
+    pub base: f64,
+}
+
+impl Mean {
+    /// Takes in a value.
+    pub fn add(&mut self, value: f64, window: f64) {
+        self.seen = (self.seen + 1.0).min(window);
+        self.mean += (value - self.mean) / self.seen;
+        self.base = if self.seen < window { self.mean } else { self.base.min(self.mean) };
+    }
+
+    /// Lets the best of times rise by `part` of itself, up to the mean: what it tells is forgotten slowly.
+    pub fn forget(&mut self, part: f64) {
+        self.base = (self.base * (1.0 + part)).min(self.mean);
+    }
+}
+
+/// A discounted sum and the discounted number of what is in it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sum {
+    /// How many, discounted.
+    pub done: f64,
+    /// Their sum, discounted.
+    pub spent: f64,
+}
+
+impl Sum {
+    /// Adds `spent` for `done` values.
+    pub fn add(&mut self, done: f64, spent: f64) {
+        self.done += done;
+        self.spent += spent;
+    }
+
+    /// Discounts what is held.
+    pub fn keep(&mut self, part: f64) {
+        self.done *= part;
+        self.spent *= part;
+    }
+
+    /// The mean, leaning to 1 with the evidence of `prior` values.
+    pub fn lean(&self, prior: f64) -> f64 {
+        (self.spent + prior) / (self.done + prior)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn tasks_come_by_time_then_order_and_once() {
+        let mut agenda = Agenda::default();
+        for (at, task) in [(5, 'b'), (5, 'a'), (3, 'c'), (5, 'b')] {
+            agenda.add(at, task);
+        }
+        assert_eq!(agenda.due(2), None);
+        let all: Vec<_> = std::iter::from_fn(|| agenda.due(5)).collect();
+        assert_eq!(all, ['c', 'a', 'b']);
+    }
+
+    #[test]
+    fn one_timer_is_waited_for_and_an_old_one_changes_nothing() {
+        let mut agenda = Agenda::default();
+        assert_eq!(agenda.arm(), None);
+        agenda.add(9, 'x');
+        assert_eq!(agenda.arm(), Some((9, 1)));
+        assert_eq!(agenda.arm(), None);
+        agenda.add(4, 'y');
+        assert_eq!(agenda.arm(), Some((4, 2)));
+        agenda.fired(1);
+        assert_eq!(agenda.arm(), None);
+        agenda.fired(2);
+        assert_eq!(agenda.arm(), Some((4, 3)));
+    }
+
+    #[test]
+    fn the_best_of_times_stands_until_it_is_forgotten() {
+        let mut mean = Mean::default();
+        [1.0, 3.0, 2.0, 5.0].iter().for_each(|v| mean.add(*v, 2.0));
+        assert_eq!(mean, Mean { mean: 3.5, seen: 2.0, base: 1.0 });
+        mean.forget(0.5);
+        assert_eq!(mean.base, 1.5);
+        mean.forget(9.0);
+        assert_eq!(mean.base, 3.5);
+    }
+
+    #[test]
+    fn a_sum_without_evidence_leans_to_one() {
+        let mut sum = Sum::default();
+        assert_eq!(sum.lean(2.0), 1.0);
+        sum.add(2.0, 6.0);
+        assert_eq!(sum.lean(2.0), 2.0);
+        sum.keep(0.5);
+        assert_eq!(sum, Sum { done: 1.0, spent: 3.0 });
+    }
+}
--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -130,7 +130,6 @@
     names: HashSet<Box<str>>,
     effects: Vec<Effect>,
     max_attempts: usize,
-    second_copies: bool,
     slack: Nanos,
     actions: Vec<Action>,
     pub trace: Trace,
@@ -145,7 +144,6 @@
             names: HashSet::new(),
             effects: settings.classes.iter().map(|class| class.effect).collect(),
             max_attempts: settings.limits.max_attempts as usize,
-            second_copies: settings.limits.second_copies,
             slack: settings.rules.answer_slack,
             balancer: Balancer::new(settings, seed, now)?,
             actions: Vec::new(),
@@ -300,7 +298,7 @@
         let barred = req.over
             || now >= req.deadline
             || req.attempts.len() >= self.max_attempts
-            || (!self.second_copies && req.out() > 0)
+            || req.out() > 0
             || (req.effect == Effect::Unsafe && req.may_have_run().next().is_some())
             || now > req.write_by();
         let write_by = req.write_by();
@@ -353,8 +351,7 @@
 
     fn reqs(effect: Effect) -> Reqs<()> {
         let class = Class { aim: SECOND, deadline: 5 * SECOND, worth: 1.0, effect, ..Class::default() };
-        let mut settings = Settings { classes: vec![class], ..Settings::default() };
-        settings.limits.second_copies = false;
+        let settings = Settings { classes: vec![class], ..Settings::default() };
         let mut reqs = Reqs::new(settings, 1, 4, NOW).unwrap();
         let state = BackendState::Ready;
         let backend = |id| Backend { id: BackendId(id), cell: CellId(0), state, ..Backend::default() };
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -52,7 +52,6 @@
         tail: within("goal", "tail").map_or(Ok(0.0), |place| place.number())?,
         limits: Limits {
             max_attempts: limits.get("maxAttempts")?.narrow()?,
-            second_copies: limits.or("parallelTries", false, Place::flag)?,
             cancel: limits.or("cancel", false, Place::flag)?,
             probes: limits.or("probes", false, Place::flag)?,
             // `retryAfter` only says whether the drill's clients are handed the advice. A refusal over HTTP
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use kitefork_ground::{Agenda, Sum};
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
@@ -28,7 +29,7 @@
 const MEMORY_AIMS: f64 = 10.0;
 /// Share of what is believed safe that this node sends a cold backend; the rest is for what it can't see.
 const COLD_MARGIN: f64 = 0.5;
-/// Further attempts and second copies a request pays for: the storm limit.
+/// Further attempts that a request pays for: the storm limit.
 const RETRY_RATIO: f64 = 0.2;
 /// Failures that can make an outlier.
 const OUTLIER_FAILURES: f64 = 3.0;
@@ -70,21 +71,6 @@
     }
 }
 
-impl Latency {
-    fn add(&mut self, spent: f64) {
-        self.seen = (self.seen + 1.0).min(SAMPLES);
-        self.mean += (spent - self.mean) / self.seen;
-        self.base = if self.seen < SAMPLES { self.mean } else { self.base.min(self.mean) };
-    }
-}
-
-impl Pool {
-    /// Mean latency over the usual one, leaning to 1.
-    fn mean(&self) -> f64 {
-        (self.spent + POOL_PRIOR) / (self.done + POOL_PRIOR)
-    }
-}
-
 /// The decisions of one proxy.
 pub struct Balancer {
     settings: Settings,
@@ -94,13 +80,10 @@
     open: BTreeMap<RequestId, Open>,
     classes: Vec<ClassStats>,
     /// Completions of each kind of machine, latencies over the mean of their class.
-    kinds: BTreeMap<KindId, Pool>,
+    kinds: BTreeMap<KindId, Sum>,
     /// Tokens of each tenant's quota.
     quota: Vec<f64>,
-    agenda: BTreeSet<(Nanos, Task)>,
-    /// The one timer that is waited for, and how many were set.
-    armed: Option<(Nanos, TimerId)>,
-    timers: u32,
+    agenda: Agenda<Task>,
     started: Nanos,
     refreshed: Nanos,
     stale: bool,
@@ -113,7 +96,7 @@
     room: f64,
     /// Completions and their latencies, of all backends together in the window of lambda, and the attempts
     /// that the pace from these has saved up.
-    recent: Pool,
+    recent: Sum,
     saved: f64,
     /// A timer for those that wait is set for then.
     wake: Nanos,
@@ -135,32 +118,12 @@
 impl Balancer {
     /// Starts a balancer at `now` with the seed of its draws.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
-        let (classes, rules) = (&settings.classes, &settings.rules);
-        let sound = [
-            (settings.tick > 0, "tick", "must be above 0"),
-            (
-                classes.iter().all(|c| c.aim > 0 && c.deadline > 0),
-                "classes",
-                "aim and deadline must be above 0",
-            ),
-            (
-                classes.iter().all(|c| c.worth.is_finite() && c.worth >= 0.0),
-                "classes",
-                "worth must be 0 or more",
-            ),
-            (
-                rules.cold_from > 0.0 && rules.cold_from <= 1.0,
-                "rules.cold_from",
-                "must be above 0, at most 1",
-            ),
-            (settings.tail >= 0.0 && settings.tail.is_finite(), "tail", "must be 0 or more"),
-            (rules.drain_close != Some(0), "rules.drain_close", "must be above 0"),
-            (rules.fall > 0 && rules.fall_multiple > 0.0, "rules.fall", "span and multiple must be above 0"),
-        ];
-        if let Some((_, key, reason)) = sound.into_iter().find(|check| !check.0) {
-            return Err(SettingsError { key, reason });
-        }
+        settings.check()?;
         let aims = || settings.classes.iter().map(|c| c.aim as f64 / SECOND);
+        let mut agenda = Agenda::default();
+        if settings.ask_list {
+            agenda.add(now, Task::Ask);
+        }
         Ok(Balancer {
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             siblings: f64::from(settings.siblings.max(1)),
@@ -169,9 +132,7 @@
             classes: vec![ClassStats::default(); settings.classes.len()],
             kinds: BTreeMap::new(),
             quota: vec![0.0; settings.tenants.len()],
-            agenda: if settings.ask_list { [(now, Task::Ask)].into() } else { BTreeSet::new() },
-            armed: None,
-            timers: 0,
+            agenda,
             started: now,
             refreshed: now,
             stale: true,
@@ -180,7 +141,7 @@
             failed_open: false,
             out: 0.0,
             room: 0.0,
-            recent: Pool::default(),
+            recent: Sum::default(),
             saved: 1.0,
             wake: 0,
             arrivals: 0.0,
@@ -203,18 +164,18 @@
             Event::List { kind, backends } => self.on_list(now, kind, backends, actions),
             Event::ListFailed => self.on_list_failed(now, actions),
             Event::Request(request) => self.on_request(now, request, actions),
-            Event::FirstByte { request, attempt } => self.on_first_byte(request, attempt, actions),
+            Event::FirstByte { request, .. } => {
+                self.open.entry(request).and_modify(|open| open.streaming = true);
+            }
             Event::Outcome { request, attempt, latency, outcome, finished, .. } => {
                 self.on_outcome(now, request, attempt, latency, outcome, finished, actions);
             }
             Event::ClientGone { request } => self.close(request, actions),
-            // By its id, not its time: a clock that rounds may bring it early. Others are superseded.
-            Event::Timer { timer } => self.armed = self.armed.filter(|armed| armed.1 != timer),
+            Event::Timer { timer } => self.agenda.fired(timer.0),
             Event::Probed { .. } | Event::Peer { .. } => {}
         }
         self.serve_waiting(now, actions);
-        while let Some((at, task)) = self.agenda.first().copied().filter(|(at, _)| *at <= now) {
-            self.agenda.remove(&(at, task));
+        while let Some(task) = self.agenda.due(now) {
             match task {
                 Task::Ask => actions.push(Action::Subscribe(true)),
                 Task::Look(id) => self.look(now, id, actions),
@@ -222,13 +183,8 @@
                 Task::Close(id) => actions.push(Action::CloseIdle { backend: id }),
             }
         }
-        if let Some((at, _)) = self.agenda.first().copied()
-            && self.armed.is_none_or(|armed| at < armed.0)
-        {
-            self.timers = self.timers.wrapping_add(1);
-            let timer = TimerId(self.timers);
-            self.armed = Some((at, timer));
-            actions.push(Action::SetTimer { at, timer });
+        if let Some((at, timer)) = self.agenda.arm() {
+            actions.push(Action::SetTimer { at, timer: TimerId(timer) });
         }
     }
 
@@ -238,8 +194,7 @@
     fn may_send(&self, now: Nanos, open: &Open, server: &Server) -> bool {
         let (limits, entry) = (&self.settings.limits, &server.entry);
         let lasting = !open.finished && !open.streaming && now < open.deadline;
-        let counted =
-            open.attempts.len() < limits.max_attempts as usize && (limits.second_copies || open.out() == 0);
+        let counted = open.attempts.len() < limits.max_attempts as usize && open.out() == 0;
         let once = match self.settings.classes[usize::from(open.request.class.0)].effect {
             Effect::Safe => true,
             Effect::Unsafe => open.may_have_run().next().is_none(),
@@ -322,7 +277,7 @@
         }
         let keep = (-step / self.lambda_window()).exp();
         (self.arrivals, self.asked) = (self.arrivals * keep, self.asked * keep);
-        (self.recent.done, self.recent.spent) = (self.recent.done * keep, self.recent.spent * keep);
+        self.recent.keep(keep);
         let pace = self.pace(now);
         self.saved = (self.saved + pace * step).min((pace * self.shortest_aim).max(2.0));
         for (tokens, tenant) in self.quota.iter_mut().zip(&self.settings.tenants) {
@@ -332,7 +287,7 @@
         for class in &mut self.classes {
             // The best of times is forgotten slowly, should the work itself grow.
             for kept in class.zones.values_mut().chain([&mut class.all]) {
-                kept.base = (kept.base * (1.0 + step / (100.0 * self.longest_aim))).min(kept.mean);
+                kept.forget(step / (100.0 * self.longest_aim));
             }
         }
         self.refreshed = now;
@@ -453,10 +408,10 @@
     fn priors(&self, seconds: f64) -> (Vec<(f64, f64)>, f64) {
         let pooled = self.ready().fold((0.0, 0.0), |sum, s| (sum.0 + s.spent, sum.1 + s.done));
         let mean = if pooled.1 > 0.0 { pooled.0 / pooled.1 } else { 0.0 };
-        let kind = |s: &Server| self.kinds.get(&s.entry.kind).map_or(1.0, |k| k.mean());
-        let mut cells: BTreeMap<CellId, Pool> = BTreeMap::new();
-        let mut zones: BTreeMap<ZoneId, Pool> = BTreeMap::new();
-        let mut ages = [Pool::default(), Pool::default()];
+        let kind = |s: &Server| self.kinds.get(&s.entry.kind).map_or(1.0, leaning);
+        let mut cells: BTreeMap<CellId, Sum> = BTreeMap::new();
+        let mut zones: BTreeMap<ZoneId, Sum> = BTreeMap::new();
+        let mut ages = [Sum::default(), Sum::default()];
         let cold = |s: &Server| self.warmth(self.refreshed, s) < 1.0;
         for server in self.ready() {
             let usual = (mean * kind(server)).max(1e-9);
@@ -470,23 +425,21 @@
                 zones.entry(server.entry.zone).or_default(),
                 age,
             ] {
-                pool.spent += spent;
-                pool.done += server.done;
+                pool.add(server.done, spent);
             }
         }
         let of = |s: &Server| {
-            let cell = cells.get(&s.entry.cell).map_or(1.0, Pool::mean);
+            let cell = cells.get(&s.entry.cell).map_or(1.0, leaning);
             let usual = mean * kind(s);
-            let age = if cold(s) { ages[1].mean() / ages[0].mean() } else { 1.0 };
-            (usual * cell * age * zones.get(&s.entry.zone).map_or(1.0, Pool::mean), usual)
+            let age = if cold(s) { leaning(&ages[1]) / leaning(&ages[0]) } else { 1.0 };
+            (usual * cell * age * zones.get(&s.entry.zone).map_or(1.0, leaning), usual)
         };
-        let (mut home, mut away) = (Pool::default(), Pool::default());
+        let (mut home, mut away) = (Sum::default(), Sum::default());
         for (zone, pool) in &zones {
             let side = if *zone == self.settings.zone { &mut home } else { &mut away };
-            side.spent += pool.spent;
-            side.done += pool.done;
+            side.add(pool.done, pool.spent);
         }
-        (self.servers.values().map(of).collect(), home.mean() / away.mean())
+        (self.servers.values().map(of).collect(), leaning(&home) / leaning(&away))
     }
 
     /// Draws a backend for `open` among those that are legal, backends not yet tried first.
@@ -595,14 +548,12 @@
         // The way to a zone is no crowd there: it counts among what is usual.
         let zone = self.classes[class].zones.entry(server.entry.zone).or_default();
         if outcome == Outcome::Ok {
-            zone.add(spent);
+            zone.add(spent, SAMPLES);
         }
         let base = if zone.seen < SAMPLES { self.classes[class].all.base } else { zone.base };
         let ratio = spent / base.max(1e-9);
         match outcome {
-            Outcome::Ok => {
-                (self.recent.done, self.recent.spent) = (self.recent.done + 1.0, self.recent.spent + spent)
-            }
+            Outcome::Ok => self.recent.add(1.0, spent),
             Outcome::Full => self.recent.spent += spent.max(self.shortest_aim),
             // Told too late to tell of now: a few silent connections would hold the pace down.
             Outcome::Timeout => {}
@@ -661,7 +612,7 @@
         }
         if self.coarse() && self.full() && self.wake <= now {
             self.wake = now + ((1.0 - self.saved) / self.pace(now) * SECOND) as Nanos + self.settings.tick;
-            self.agenda.insert((self.wake, Task::Wake));
+            self.agenda.add(self.wake, Task::Wake);
         }
         let mut misses = 0;
         let mut after = ((0, 0), RequestId(0));
@@ -690,11 +641,11 @@
         let aim = now.saturating_add(class.aim).saturating_add(stretch as Nanos).min(deadline);
         let rank = self.rank(&request);
         self.asked += 1.0;
-        let (finished, streaming, hedged, attempts) = (false, false, false, Vec::new());
-        let open = Open { request, deadline, aim, attempts, finished, streaming, hedged, rank };
+        let (finished, streaming, attempts) = (false, false, Vec::new());
+        let open = Open { request, deadline, aim, attempts, finished, streaming, rank };
         self.open.insert(id, open);
         self.waiting.insert((rank, id));
-        self.agenda.insert((self.give_up(id), Task::Look(id)));
+        self.agenda.add(self.give_up(id), Task::Look(id));
     }
 
     /// When a request that still waits can't be answered in time any more.
@@ -734,16 +685,7 @@
         let class = &self.settings.classes[usize::from(open.request.class.0)];
         let until = if class.late_worth > 0.0 { open.deadline } else { open.aim };
         actions.push(Action::Send { request: id, backend, until });
-        let stats = &self.classes[usize::from(open.request.class.0)];
-        // A second copy is for answers that are unusually late, and only when the aim is in danger.
-        let unusual = now + ((stats.all.mean + 2.0 * stats.dev) * SECOND) as Nanos + self.settings.tick;
-        let danger = open.aim.saturating_sub((2.0 * stats.all.mean * SECOND) as Nanos);
-        if open.attempts.len() == 1 && stats.all.mean > 0.0 && self.settings.limits.second_copies {
-            self.agenda.insert((unusual.max(danger), Task::Look(id)));
-        }
-        if !self.settings.limits.second_copies {
-            self.agenda.insert((now.saturating_add(self.overdue(id)), Task::Look(id)));
-        }
+        self.agenda.add(now.saturating_add(self.overdue(id)), Task::Look(id));
         true
     }
 
@@ -777,34 +719,25 @@
         let at = last.sent.saturating_add(span);
         if now < at || self.retry_tokens < 1.0 {
             let again = if now < at { at } else { now.saturating_add(span / OVERDUE as u64) };
-            self.agenda.insert((again, Task::Look(id)));
+            self.agenda.add(again, Task::Look(id));
         } else {
             self.retry_tokens -= 1.0;
             actions.push(Action::Cancel { request: id, attempt: place as u8 });
         }
     }
 
-    /// A moment set for a request has come: it was held, or its first attempt is slow.
+    /// A moment set for a request has come: it was held, or an attempt is slow.
     fn look(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.finished && !o.streaming) else { return };
         if open.out() == 0 {
             // What is usual may have changed since this moment was set.
             match self.give_up(id) {
-                later if later > now => drop(self.agenda.insert((later, Task::Look(id)))),
+                later if later > now => self.agenda.add(later, Task::Look(id)),
                 _ => self.conclude(id, actions),
             }
             return;
         }
-        if !self.settings.limits.second_copies {
-            return self.call_off(now, id, actions);
-        }
-        let usual = self.classes[usize::from(open.request.class.0)].all.mean * SECOND;
-        let timely = now + usual as Nanos <= open.aim;
-        if !open.hedged && timely && self.waiting.is_empty() && self.retry_tokens >= 1.0 {
-            open.hedged = true;
-            self.retry_tokens -= 1.0;
-            self.attempt(now, id, actions);
-        }
+        self.call_off(now, id, actions);
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -845,9 +778,9 @@
                 server.streak = 0.0;
                 let pool = self.kinds.entry(server.entry.kind).or_default();
                 let keep = 1.0 - 1.0 / SAMPLES;
-                pool.done = pool.done * keep + 1.0;
                 let mean = self.classes[class].all.mean;
-                pool.spent = pool.spent * keep + if mean > 0.0 { spent / mean } else { 1.0 };
+                pool.keep(keep);
+                pool.add(1.0, if mean > 0.0 { spent / mean } else { 1.0 });
                 if server.done > 0.5 * MEMORY {
                     server.ejections = 0;
                 }
@@ -857,9 +790,7 @@
             self.let_go(now, backend, actions);
         }
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
-            let stats = &mut self.classes[class];
-            stats.all.add(spent);
-            stats.dev += ((spent - stats.all.mean).abs() - stats.dev) / stats.all.seen;
+            self.classes[class].all.add(spent, SAMPLES);
         }
         self.adjust_room(backend, class, spent, outcome);
         let failed =
@@ -886,23 +817,13 @@
             if now < give_up && more && (free || self.retry_tokens >= 1.0) {
                 self.retry_tokens -= if free { 0.0 } else { 1.0 };
                 self.waiting.insert((open.rank, id));
-                self.agenda.insert((give_up, Task::Look(id)));
+                self.agenda.add(give_up, Task::Look(id));
             } else {
                 self.conclude(id, actions);
             }
         }
     }
 
-    fn on_first_byte(&mut self, id: RequestId, attempt: u8, actions: &mut Vec<Action>) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        open.streaming = true;
-        for (place, other) in open.attempts.iter().enumerate() {
-            if other.outcome.is_none() && place != usize::from(attempt) && self.settings.limits.cancel {
-                actions.push(Action::Cancel { request: id, attempt: place as u8 });
-            }
-        }
-    }
-
     /// Gives the final answer: a refusal where that is true, else a failure.
     fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id).filter(|o| !o.finished) else { return };
@@ -981,7 +902,7 @@
     fn let_go(&mut self, now: Nanos, id: BackendId, actions: &mut Vec<Action>) {
         if let Some(within) = self.settings.rules.drain_close {
             actions.push(Action::CloseIdle { backend: id });
-            self.agenda.insert((now.saturating_add(within / 2), Task::Close(id)));
+            self.agenda.add(now.saturating_add(within / 2), Task::Close(id));
         }
     }
 
@@ -994,7 +915,7 @@
         let wait = first.saturating_mul(1 << self.ask_failures.min(3));
         let wait = (wait as f64 * (0.5 + unit(&mut self.rng))) as Nanos + self.settings.tick;
         self.ask_failures = self.ask_failures.saturating_add(1);
-        self.agenda.insert((now + wait, Task::Ask));
+        self.agenda.add(now + wait, Task::Ask);
         if self.ask_failures == 1 {
             actions.push(Action::Log("list out of reach, the old one stays".into()));
         }
@@ -1034,6 +955,11 @@
     result
 }
 
+/// Mean latency over the usual one, leaning to 1.
+fn leaning(pool: &Sum) -> f64 {
+    pool.lean(POOL_PRIOR)
+}
+
 /// A draw from [0, 1).
 fn unit(rng: &mut Xoshiro256PlusPlus) -> f64 {
     (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
--- a/src/balance_tests.rs
+++ b/src/balance_tests.rs
@@ -2,7 +2,7 @@
 
 use super::{Balancer, SAMPLES, shares};
 use crate::interface::*;
-use crate::state::Pool;
+use kitefork_ground::Sum;
 
 const MS: Nanos = 1_000_000;
 /// A node of three hundred, of whose backends each gets little.
@@ -43,7 +43,7 @@
     balancer.handle(1, list, &mut Vec::new());
     for _ in 0..2 * SAMPLES as usize {
         for (id, spent) in [(0, 0.002), (1, 0.012)] {
-            balancer.classes[0].all.add(spent);
+            balancer.classes[0].all.add(spent, SAMPLES);
             balancer.adjust_room(BackendId(id), 0, spent, Outcome::Ok);
         }
     }
@@ -60,7 +60,7 @@
     let pace = balancer.pace(2_000 * MS);
     assert!((4.0..8.0).contains(&pace), "{pace} of 30 a second");
     // Once they answer fast, what a window completes at that pace brings back all that comes.
-    balancer.recent = Pool { done: pace * 0.6, spent: pace * 0.6 * 0.05 };
+    balancer.recent = Sum { done: pace * 0.6, spent: pace * 0.6 * 0.05 };
     assert!(balancer.pace(2_000 * MS) > 25.0, "{}", balancer.pace(2_000 * MS));
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -89,8 +89,6 @@
 pub struct Limits {
     /// Most attempts for one request.
     pub max_attempts: u32,
-    /// Two attempts of a request may be out at a time.
-    pub second_copies: bool,
     /// Attempts may be cancelled.
     pub cancel: bool,
     /// Backends may be probed.
@@ -165,14 +163,7 @@
             worth_by_work: false,
             cross_zone_price: 0.0,
             tail: 0.0,
-            limits: Limits {
-                max_attempts: 3,
-                second_copies: true,
-                cancel: true,
-                probes: false,
-                max_retry_after: 0,
-                untried: 1.0,
-            },
+            limits: Limits { max_attempts: 3, cancel: true, probes: false, max_retry_after: 0, untried: 1.0 },
             rules: Rules {
                 answer_slack: 0,
                 drain_grace: 0,
@@ -187,6 +178,36 @@
     }
 }
 
+impl Settings {
+    /// Names the first setting without sense.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let (classes, rules) = (&self.classes, &self.rules);
+        let sound = [
+            (self.tick > 0, "tick", "must be above 0"),
+            (
+                classes.iter().all(|c| c.aim > 0 && c.deadline > 0),
+                "classes",
+                "aim and deadline must be above 0",
+            ),
+            (
+                classes.iter().all(|c| c.worth.is_finite() && c.worth >= 0.0),
+                "classes",
+                "worth must be 0 or more",
+            ),
+            (
+                rules.cold_from > 0.0 && rules.cold_from <= 1.0,
+                "rules.cold_from",
+                "must be above 0, at most 1",
+            ),
+            (self.tail >= 0.0 && self.tail.is_finite(), "tail", "must be 0 or more"),
+            (rules.drain_close != Some(0), "rules.drain_close", "must be above 0"),
+            (rules.fall > 0 && rules.fall_multiple > 0.0, "rules.fall", "span and multiple must be above 0"),
+        ];
+        let wrong = sound.into_iter().find(|check| !check.0);
+        wrong.map_or(Ok(()), |(_, key, reason)| Err(SettingsError { key, reason }))
+    }
+}
+
 /// A setting without sense.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("setting `{key}`: {reason}")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use kitefork_ground::Mean;
+
 use crate::interface::*;
 
 /// A moment set for later.
@@ -63,35 +65,15 @@
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) finished: bool,
     pub(crate) streaming: bool,
-    pub(crate) hedged: bool,
     /// Place in the order of waiting: worth, then turn.
     pub(crate) rank: (u64, u64),
 }
 
-/// Completions and latencies, over the usual one, of backends with one label.
-#[derive(Clone, Default)]
-pub(crate) struct Pool {
-    pub(crate) done: f64,
-    pub(crate) spent: f64,
-}
-
-/// Latencies, in seconds.
-#[derive(Clone, Default)]
-pub(crate) struct Latency {
-    /// Their moving mean.
-    pub(crate) mean: f64,
-    /// How many are in it, up to its memory.
-    pub(crate) seen: f64,
-    /// Their mean in the best of times.
-    pub(crate) base: f64,
-}
-
 /// What is known of a class.
 #[derive(Clone, Default)]
 pub(crate) struct ClassStats {
-    pub(crate) all: Latency,
-    /// Moving deviation from their mean.
-    pub(crate) dev: f64,
+    /// Latencies, in seconds.
+    pub(crate) all: Mean,
     /// Those of each zone's backends.
-    pub(crate) zones: BTreeMap<ZoneId, Latency>,
+    pub(crate) zones: BTreeMap<ZoneId, Mean>,
 }
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -354,9 +354,7 @@
 #[test]
 fn an_attempt_that_looks_lost_is_called_off_and_goes_out_anew() {
     for (class, again) in [(0, true), (2, true), (3, false)] {
-        let mut settings = settings();
-        settings.limits.second_copies = false;
-        let mut feed = Feed::new(settings, (1..=4).map(backend).collect());
+        let mut feed = Feed::new(settings(), (1..=4).map(backend).collect());
         feed.serve(40, |_| 10 * MS);
         let (id, _) = feed.ask(class);
         let early = feed.wait(90 * MS);
@@ -371,9 +369,7 @@
 #[test]
 fn an_attempt_is_called_off_though_others_take_longer_meanwhile_or_the_storm_limit_is_reached() {
     for retries in [60, 0] {
-        let mut settings = settings();
-        settings.limits.second_copies = false;
-        let mut feed = Feed::new(settings, (1..=4).map(backend).collect());
+        let mut feed = Feed::new(settings(), (1..=4).map(backend).collect());
         feed.serve(40, |_| 30 * MS);
         for _ in 0..retries {
             let (id, _) = feed.ask(0);
@@ -402,7 +398,7 @@
 #[test]
 fn a_few_silent_attempts_do_not_close_all_room() {
     let mut settings = settings();
-    (settings.limits.second_copies, settings.limits.cancel) = (false, false);
+    settings.limits.cancel = false;
     let mut feed = Feed::new(settings, (1..=8).map(backend).collect());
     feed.serve(400, |_| 2 * MS);
     for _ in 0..4 {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -72,7 +72,7 @@
     let class = Class { aim, deadline, worth: 1.0, late_worth: 0.3, effect, ..Class::default() };
     let mut settings =
         Settings { classes: vec![class], siblings: nodes as u32, ask_list: true, ..Settings::default() };
-    (settings.limits.max_attempts, settings.limits.second_copies) = (5, false);
+    settings.limits.max_attempts = 5;
     settings.limits.max_retry_after = 2 * SECOND;
     settings.limits.untried = 0.5;
     settings.rules.cold_from = 0.31;
