A repeat is told by the patience it has left, and waits behind first tries once past its aim

So what is left tells what is gone. At fault: on_request counted the aim from now, rank knew only client_retry. Test seen to fail on the old module.

--- a/ground/src/lib.rs
+++ b/ground/src/lib.rs
@@ -1,5 +1,5 @@
-//! What the decisions stand on and what decides nothing itself: an ordered agenda and moving means. No I/O, no
-//! clock; equal calls give equal results.
+//! What the decisions stand on and what decides nothing itself: an ordered agenda, moving means, a
+//! histogram. No I/O, no clock; equal calls give equal results.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -113,6 +113,34 @@
     }
 }
 
+/// The part of a whole that most values fall into: a histogram of 32 steps, discounted by each new value.
+#[derive(Clone, Copy, Debug)]
+pub struct Often {
+    steps: [f64; Often::STEPS + 1],
+}
+
+impl Default for Often {
+    fn default() -> Self {
+        Often { steps: [0.0; Often::STEPS + 1] }
+    }
+}
+
+impl Often {
+    const STEPS: usize = 32;
+    /// Values that it remembers.
+    const MEMORY: f64 = 256.0;
+
+    /// Takes in a value, a part from 0 to 1 of the whole, and tells whether it is of the most frequent step
+    /// or one beside it.
+    pub fn add(&mut self, part: f64) -> bool {
+        self.steps.iter_mut().for_each(|n| *n *= 1.0 - 1.0 / Often::MEMORY);
+        let at = (part.clamp(0.0, 1.0) * Often::STEPS as f64) as usize;
+        self.steps[at] += 1.0;
+        let most = (0..=Often::STEPS).max_by(|a, b| self.steps[*a].total_cmp(&self.steps[*b]));
+        most.is_some_and(|most| most.abs_diff(at) <= 1)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -154,6 +182,21 @@
         assert_eq!(mean.base, 3.5);
     }
 
+    #[test]
+    fn the_most_frequent_is_told_from_the_rest_and_changes_with_what_comes() {
+        let mut often = Often::default();
+        assert!(often.add(0.51));
+        for turn in 0..100 {
+            assert!(often.add(0.51));
+            assert!(!often.add(if turn % 2 == 0 { 0.2 } else { 0.9 }));
+        }
+        assert!(often.add(0.5) && often.add(0.54) && !often.add(f64::NAN));
+        for _ in 0..600 {
+            often.add(7.0);
+        }
+        assert!(often.add(1.0) && !often.add(0.51));
+    }
+
     #[test]
     fn a_sum_without_evidence_leans_to_one() {
         let mut sum = Sum::default();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -579,7 +579,7 @@
     /// Place in the order of waiting: most worth per work first, tenants over their quota behind, the newest
     /// of equals first, by a count, as ids tell no order. Guards against a crowd that is served first come,
     /// first served: each gets its turn just too late. Harm: in a crowd the oldest are given up.
-    fn rank(&mut self, request: &Request) -> (u64, u64) {
+    fn rank(&mut self, request: &Request, late: bool) -> (u64, u64) {
         let class = usize::from(request.class.0);
         let settings = &self.settings.classes[class];
         let work = if self.settings.worth_by_work { 1.0 } else { self.classes[class].all.base.max(1e-3) };
@@ -593,13 +593,23 @@
         }
         // A marked repeat comes when its first try has used up the aim or nearly so. Guards against room
         // spent on answers that count no more; could harm repeats after a fast failure, in a crowd only.
-        if request.client_retry {
+        if request.client_retry || late {
             value *= settings.late_worth.clamp(0.0, 1.0);
         }
         self.turns += 1;
         (u64::MAX - (value.max(0.0).to_bits() >> EQUALS), u64::MAX - self.turns)
     }
 
+    /// How long ago a request's first try was, as its patience tells: first tries come with one patience and
+    /// are the most; what a repeat has left tells what is gone. Guards against room spent on answers that
+    /// count no more. Harm: a client that is impatient from the start waits behind others in a crowd.
+    fn elapsed(&mut self, request: &Request) -> Nanos {
+        let class = usize::from(request.class.0);
+        let deadline = self.settings.classes[class].deadline;
+        let usual = self.classes[class].patience.add(request.patience as f64 / deadline as f64);
+        if usual { 0 } else { deadline.saturating_sub(request.patience) }
+    }
+
     /// Gives room to those that wait, until none is left.
     fn serve_waiting(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         // Estimates move little within a small part of an aim; renewing shares costs CPU.
@@ -637,9 +647,12 @@
             return;
         }
         let stretch = class.aim_stretch.max(0.0) * request.work_hint.unwrap_or(0) as f64;
+        let span = class.aim.saturating_add(stretch as Nanos);
         let deadline = now.saturating_add(request.patience);
-        let aim = now.saturating_add(class.aim).saturating_add(stretch as Nanos).min(deadline);
-        let rank = self.rank(&request);
+        let elapsed = self.elapsed(&request);
+        let late = elapsed >= span;
+        let aim = now.saturating_add(if late { span } else { span - elapsed }).min(deadline);
+        let rank = self.rank(&request, late);
         self.asked += 1.0;
         let (finished, streaming, attempts) = (false, false, Vec::new());
         let open = Open { request, deadline, aim, attempts, finished, streaming, rank };
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use kitefork_ground::Mean;
+use kitefork_ground::{Mean, Often};
 
 use crate::interface::*;
 
@@ -72,6 +72,8 @@
 /// What is known of a class.
 #[derive(Clone, Default)]
 pub(crate) struct ClassStats {
+    /// Patience of its requests, in parts of the deadline.
+    pub(crate) patience: Often,
     /// Latencies, in seconds.
     pub(crate) all: Mean,
     /// Those of each zone's backends.
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -508,6 +508,31 @@
     assert!(!feed.sent.contains_key(&RequestId(900)));
 }
 
+#[test]
+fn a_repeat_is_told_by_what_patience_it_has_left() {
+    let repeat = |id, left| {
+        let Event::Request(request) = request(id, 0) else { unreachable!() };
+        Event::Request(Request { patience: left * MS, ..request })
+    };
+    // 350 of the 400 ms of its aim are gone: its attempt is not waited for any longer than the rest.
+    let mut feed = Feed::new(settings(), vec![backend(1)]);
+    feed.serve(20, |_| 10 * MS);
+    let actions = feed.give(repeat(900, 650));
+    let by = feed.now + 50 * MS;
+    assert!(actions.iter().any(|a| matches!(a, Action::Send { until, .. } if *until == by)), "{actions:?}");
+    // Past its aim: the first try goes before it, though it came earlier in a crowd, newest first.
+    let mut feed = Feed::new(settings(), vec![backend(1)]);
+    let (first, _) = feed.ask(0);
+    let (fresh, _) = feed.ask(0);
+    feed.give(repeat(901, 300));
+    feed.wait(10 * MS);
+    feed.end(first, 0, Outcome::Ok);
+    assert!(feed.sent.contains_key(&fresh) && !feed.sent.contains_key(&RequestId(901)));
+    // It is served all the same once nothing better waits.
+    feed.end(fresh, 0, Outcome::Ok);
+    assert!(feed.sent.contains_key(&RequestId(901)));
+}
+
 #[test]
 fn a_silent_fleet_gets_no_more_until_it_answers() {
     let mut feed = Feed::new(settings(), (1..=4).map(backend).collect());
