Idle backends of a node's own part go first, and rooms end where the tightest aim does

At fault: draw took any backend with room alike; adjust_room ended rooms at HELD whatever the aims. Change: the zone's backends, ordered by a hash of their uid, fall to the nodes in stretches; a draw goes to the idle ones of the own stretch first, by (9) and then by rate, then to all as before. Rooms end at aim/work - 1 of all nodes together, HELD at most. Both tests seen to fail with the old draw and the old end of rooms (24 parts for 12; 3 held).

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -2,6 +2,7 @@
 //! the last version; whether and when to ask again is the decisions' business.
 
 use std::collections::HashMap;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 
@@ -177,8 +178,11 @@
     fn backend(&mut self, clock: &Clock, entry: &Entry) -> Backend {
         let id = *self.ids.entry(entry.uid.clone()).or_insert(BackendId(self.next));
         self.next += u32::from(id.0 == self.next);
+        let mut hasher = fnv::FnvHasher::default();
+        hasher.write(entry.uid.as_bytes());
         Backend {
             id,
+            mark: hasher.finish(),
             zone: ZoneId(place(&mut self.zones, &entry.zone)),
             cell: CellId(entry.cell),
             kind: KindId(place(&mut self.kinds, &entry.kind)),
@@ -336,6 +340,20 @@
         assert!(ends.contains(&BackendId(0)) && fleet.has_ready());
     }
 
+    #[test]
+    fn a_uid_has_the_same_mark_at_every_node_whatever_its_number() {
+        let marks = |entries: &[(&str, u16, &str)]| {
+            let (clock, mut fleet) = (Clock::start(), Fleet::new(vec![], vec![]));
+            let (event, _) = fleet.apply(0, &clock, &update(true, entries), true);
+            let Event::List { backends, .. } = event else { panic!("{event:?}") };
+            backends.iter().map(|b| b.mark).collect::<Vec<_>>()
+        };
+        let here = marks(&[("s-1", 1, "Ready"), ("s-2", 2, "Ready")]);
+        let there = marks(&[("s-0", 3, "Ready"), ("s-2", 2, "Ready"), ("s-1", 1, "Ready")]);
+        assert_eq!((here[0], here[1]), (there[2], there[1]));
+        assert!(here[0] != here[1] && !here.contains(&there[0]));
+    }
+
     #[test]
     fn a_day_of_new_uids_is_forgotten_again_and_no_number_is_given_twice() {
         let (clock, mut fleet) = (Clock::start(), Fleet::new(vec![], vec![]));
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -41,6 +41,7 @@
             .map(|t| Ok(Tenant { quota_per_s: t.or("quotaPerS", 0.0, Place::number)? }))
             .collect::<Result<_, Fault>>()?,
         zone: ZoneId(root.or("zone", 0, Place::narrow)?),
+        me: root.or("me", 0, Place::narrow)?,
         siblings: root.or("siblings", 1, Place::narrow)?,
         ask_list: word(&root.get("membershipMode")?, &[("automatic", false), ("subscribe", true)])?,
         tick: root.get("tickNs")?.whole()?,
@@ -121,7 +122,7 @@
     use super::*;
     use json::Tree;
 
-    const SETTINGS: &str = r#"{"siblings": 2, "zone": 1, "membershipMode": "subscribe", "novel": [],
+    const SETTINGS: &str = r#"{"siblings": 2, "me": 1, "zone": 1, "membershipMode": "subscribe", "novel": [],
         "grades": [{"effect": "by_key", "keyScope": "zone", "windowNs": 7, "goalTimeNs": 5,
                     "giveUpNs": 9, "importance": 2.5, "name": "reads"}], "stage": null,
         "tickNs": 3, "limits": {"maxAttempts": 4, "maxRetryAfterNs": 8},
@@ -135,7 +136,7 @@
     fn reads_what_it_knows_and_passes_over_the_rest() {
         let Deployment { settings, classes, .. } = parse(SETTINGS).unwrap();
         assert!(settings.ask_list);
-        assert_eq!(settings.zone, ZoneId(1));
+        assert_eq!((settings.zone, settings.me), (ZoneId(1), 1));
         assert_eq!(settings.limits.max_retry_after, 8);
         assert_eq!(settings.classes[0].effect, Effect::Keyed { group: Group::Zone, window: 7 });
         assert_eq!(classes, ["reads"]);
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -59,6 +59,9 @@
 /// At most this share of the listed backends is ejected; beyond, ejection fails open.
 const MAX_EJECTED: f64 = 0.5;
 
+/// The golden ratio's part after the point.
+const GOLDEN: f64 = 0.618_033_988_749_895;
+
 const SECOND: f64 = 1e9;
 
 impl Open {
@@ -371,12 +374,34 @@
             let clock = now.saturating_sub(since) as f64 / self.settings.tick as f64 + std::f64::consts::E;
             server.explore = unknown * warmths[place] * clock.ln() / clock / (1.0 + server.streak);
             server.cold_credit = credits[place];
+            server.rate = rates[place];
             server.share = shares[place] * if near(server) { 1.0 } else { spill };
         }
         self.split_at = now;
         self.stale = false;
     }
 
+    /// Marks the part of its zone that this node uses first: by its number, a stretch of the backends in the
+    /// order that all nodes have in common, so that parts cover the zone evenly. Guards against nodes that
+    /// crowd one backend beside an idle one, as none knows what the others have out.
+    fn take_part(&mut self) {
+        let zones: BTreeSet<ZoneId> = self.ready().map(|s| s.entry.zone).collect();
+        let nodes = (self.siblings / zones.len().max(1) as f64).max(1.0);
+        let home = self.ready().filter(|s| s.entry.zone == self.settings.zone);
+        let mut marks: Vec<u64> = home.map(|s| s.entry.mark).collect();
+        marks.sort_unstable();
+        // Where only some of the nodes are of this zone, multiples of the golden ratio lie evenly.
+        let step = if zones.len() > 1 { GOLDEN } else { 1.0 / nodes };
+        let start = f64::from(self.settings.me) * step;
+        let part = |s: &Server| {
+            let rank = marks.binary_search(&s.entry.mark).ok()?;
+            Some(((rank as f64 + 0.5) / marks.len() as f64 - start).rem_euclid(1.0) < 1.0 / nodes)
+        };
+        for server in self.servers.values_mut() {
+            server.own = part(server).unwrap_or(false);
+        }
+    }
+
     /// Fewer completions of a backend come in the longest memory than an estimate wants.
     fn starved(&self, now: Nanos) -> bool {
         let rate = self.lambda(now) / (self.servers.len().max(1) as f64);
@@ -460,8 +485,18 @@
         }
         let explore: f64 = pool.iter().map(|s| s.explore).sum();
         let (dice, place) = (unit(&mut self.rng), unit(&mut self.rng));
-        let shared = if dice >= explore.min(1.0) { pick(&pool, place, |s| s.share) } else { None };
-        shared.or_else(|| pick(&pool, place, |s| s.explore)).or_else(|| pick(&pool, place, |_| 1.0))
+        let shared = || {
+            // What this node knows to be idle goes first: there is no wait at it.
+            let own = |s: &Server, weight: f64| if s.own && s.out == 0.0 { weight } else { 0.0 };
+            let idle = pick(&pool, place, |s| own(s, s.share));
+            // One that (9) leaves out is slow, but there at once; not where it is a crowd of others'.
+            let idle = idle.or_else(|| {
+                pick(&pool, place, |s| own(s, if s.ratio < TOLERANCE * TOLERANCE { s.rate } else { 0.0 }))
+            });
+            idle.or_else(|| pick(&pool, place, |s| s.share))
+        };
+        let drawn = if dice >= explore.min(1.0) { shared() } else { None };
+        drawn.or_else(|| pick(&pool, place, |s| s.explore)).or_else(|| pick(&pool, place, |_| 1.0))
     }
 
     // ---- Health: outlier ejection with backoff and a floor. ----
@@ -567,7 +602,10 @@
         };
         // This node's share of c, and the root of it, as siblings are not all at their shares at a time.
         let share = HELD / self.siblings;
-        let most = (share + share.sqrt()).round();
+        // Behind as many of the longest work as it lets a backend hold, the tightest class is still in time.
+        let longest = self.classes.iter().map(|c| c.all.base).fold(1e-9, f64::max);
+        let fits = HELD.min(self.shortest_aim / longest - 1.0).max(1.0) / self.siblings;
+        let most = (fits + fits.sqrt()).round();
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.ratio += (ratio.min(10.0) - server.ratio) / MEMORY;
         let growth = ROOM_GAIN * (TOLERANCE / server.ratio - 1.0);
@@ -904,6 +942,7 @@
             self.let_go(now, id, actions);
         }
         self.servers.retain(|_, s| s.entry.state != BackendState::Gone || s.out > 0.0);
+        self.take_part();
         if self.ready().next().is_none() {
             actions.push(Action::Log("no backend is ready".into()));
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -130,6 +130,8 @@
     pub tenants: Vec<Tenant>,
     /// Zone of this proxy.
     pub zone: ZoneId,
+    /// Number of this proxy among them, from 0.
+    pub me: u32,
     /// Number of proxies in front of the same backends, this one included.
     pub siblings: u32,
     /// The backend list must be asked for.
@@ -156,6 +158,7 @@
             classes: Vec::new(),
             tenants: Vec::new(),
             zone: ZoneId(0),
+            me: 0,
             siblings: 1,
             ask_list: false,
             tick: 1_000_000,
@@ -235,6 +238,8 @@
 pub struct Backend {
     /// Which backend.
     pub id: BackendId,
+    /// A number that is the same at every proxy: it orders backends alike at all of them.
+    pub mark: u64,
     /// Its zone.
     pub zone: ZoneId,
     /// Its cell.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 //! let mut actions = Vec::new();
 //! let backend = Backend {
 //!     id: BackendId(7),
+//!     mark: 7,
 //!     zone: ZoneId(0),
 //!     cell: CellId(0),
 //!     kind: KindId(0),
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,10 @@
     pub(crate) cold_credit: f64,
     /// Place in this node's own order of backends, which settles those that it can come to know.
     pub(crate) order: u64,
+    /// It is of the part of its zone that this node uses first.
+    pub(crate) own: bool,
+    /// Rate by the estimate, 0 outside the set.
+    pub(crate) rate: f64,
     /// Share by (9), and share of an exploration.
     pub(crate) share: f64,
     pub(crate) explore: f64,
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -35,6 +35,7 @@
 fn backend(id: u32) -> Backend {
     Backend {
         id: BackendId(id),
+        mark: u64::from(id).wrapping_mul(0x9e37_79b9_7f4a_7c15),
         zone: ZoneId(0),
         cell: CellId((id % 2) as u16),
         kind: KindId(0),
@@ -533,6 +534,51 @@
     assert!(feed.sent.contains_key(&RequestId(901)));
 }
 
+#[test]
+fn nodes_start_with_parts_that_share_no_backend_and_leave_none_out() {
+    for (nodes, fleet) in [(2, 12), (2, 7), (3, 19)] {
+        let mut met = BTreeSet::new();
+        let mut parts = 0;
+        for me in 0..nodes {
+            // Each knows the backends in an order of its own; what they have in common is the mark.
+            let list = (1..=fleet).rev().map(backend).collect();
+            let settings = Settings { me, siblings: nodes, ..settings() };
+            let mut feed = Feed::seeded(settings, list, 7 + u64::from(me));
+            feed.serve(4_000, |_| 10 * MS);
+            let counts = feed.serve(2_000, |_| 10 * MS);
+            // What explores goes anywhere; the rest to the node's own part, each idle in its turn.
+            let part: Vec<BackendId> = counts.iter().filter(|c| *c.1 > 40).map(|c| *c.0).collect();
+            parts += part.len();
+            met.extend(part);
+        }
+        assert_eq!((parts, met.len()), (fleet as usize, fleet as usize), "{nodes} nodes");
+    }
+}
+
+#[test]
+fn two_nodes_let_a_backend_hold_no_more_than_the_tightest_class_bears() {
+    // Three of 25 ms are as long as the aim of 75 ms is; a node's share of what is less is one or two.
+    let tight = Class { aim: 75 * MS, deadline: 150 * MS, ..class(Effect::Unsafe) };
+    let mut settings = Settings { siblings: 2, ..settings() };
+    settings.classes.push(tight);
+    let mut feed = Feed::new(settings, vec![backend(1)]);
+    let mut most = 0;
+    for _ in 0..400 {
+        let asked: Vec<_> = (0..6).map(|_| feed.ask(0).0).collect();
+        loop {
+            let held = |id: &&RequestId| feed.sent.get(id).is_some_and(|sent| sent[0].2);
+            let out: Vec<_> = asked.iter().filter(held).copied().collect();
+            if out.is_empty() {
+                break;
+            }
+            most = most.max(out.len());
+            feed.wait(25 * MS);
+            out.into_iter().for_each(|id| drop(feed.end(id, 0, Outcome::Ok)));
+        }
+    }
+    assert_eq!(most, 2);
+}
+
 #[test]
 fn a_silent_fleet_gets_no_more_until_it_answers() {
     let mut feed = Feed::new(settings(), (1..=4).map(backend).collect());
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -84,14 +84,15 @@
 
 fn backend(id: u32) -> Backend {
     let (zone, cell) = (ZoneId((id % 2) as u16), CellId((id % 6) as u16));
-    Backend { id: BackendId(id), zone, cell, state: BackendState::Ready, weight: 1.0, ..Backend::default() }
+    let (id, mark) = (BackendId(id), u64::from(id));
+    Backend { id, mark, zone, cell, state: BackendState::Ready, weight: 1.0, ..Backend::default() }
 }
 
 impl World {
     fn new(nodes: usize, backends: &[Backend]) -> World {
         let zone = |node: usize| ZoneId((node % 2) as u16);
         let balancer = |node| {
-            let settings = Settings { zone: zone(node), ..settings(nodes) };
+            let settings = Settings { zone: zone(node), me: node as u32, ..settings(nodes) };
             Balancer::new(settings, 1 + node as u64, START).expect("sound settings")
         };
         let mut world = World {
--- a/wirehost/src/frame.rs
+++ b/wirehost/src/frame.rs
@@ -174,6 +174,7 @@
 fn entry(bytes: &[u8], state: BackendState) -> Backend {
     Backend {
         id: BackendId(u32_at(bytes, 0)),
+        mark: u64::from(u32_at(bytes, 0)),
         zone: ZoneId(u16_at(bytes, 4)),
         kind: KindId(u16_at(bytes, 6)),
         cell: CellId(u16_at(bytes, 8)),
