--- a/src/balance.rs
+++ b/src/balance.rs
@@ -385,20 +385,20 @@
     /// order that all nodes have in common, so that parts cover the zone evenly. Guards against nodes that
     /// crowd one backend beside an idle one, as none knows what the others have out.
     fn take_part(&mut self) {
-        let zones: BTreeSet<ZoneId> = self.ready().map(|s| s.entry.zone).collect();
-        let nodes = (self.siblings / zones.len().max(1) as f64).max(1.0);
-        let home = self.ready().filter(|s| s.entry.zone == self.settings.zone);
-        let mut marks: Vec<u64> = home.map(|s| s.entry.mark).collect();
-        marks.sort_unstable();
+        let mut marks: BTreeMap<ZoneId, Vec<u64>> = BTreeMap::new();
+        for server in self.ready() {
+            marks.entry(server.entry.zone).or_default().push(server.entry.mark);
+        }
+        marks.values_mut().for_each(|zone| zone.sort_unstable());
+        let nodes = (self.siblings / marks.len().max(1) as f64).max(1.0);
         // Where only some of the nodes are of this zone, multiples of the golden ratio lie evenly.
-        let step = if zones.len() > 1 { GOLDEN } else { 1.0 / nodes };
+        let step = if marks.len() > 1 { GOLDEN } else { 1.0 / nodes };
         let start = f64::from(self.settings.me) * step;
-        let part = |s: &Server| {
-            let rank = marks.binary_search(&s.entry.mark).ok()?;
-            Some(((rank as f64 + 0.5) / marks.len() as f64 - start).rem_euclid(1.0) < 1.0 / nodes)
-        };
         for server in self.servers.values_mut() {
-            server.own = part(server).unwrap_or(false);
+            let Some(zone) = marks.get(&server.entry.zone) else { continue };
+            let rank = zone.partition_point(|mark| *mark < server.entry.mark) as f64;
+            server.order = ((rank + 0.5) / zone.len() as f64 - start).rem_euclid(1.0);
+            server.own = server.entry.zone == self.settings.zone && server.order < 1.0 / nodes;
         }
     }
 
@@ -416,9 +416,9 @@
     fn members(&self, now: Nanos) -> BTreeSet<BackendId> {
         let count = self.sends / self.age(now) * MEMORY_AIMS * self.longest_aim / MEMORY;
         let usable = |s: &&Server| s.ejected_until <= now || self.failed_open;
-        let mut order: Vec<(ZoneId, u64, BackendId)> =
+        let mut order: Vec<(ZoneId, f64, BackendId)> =
             self.ready().filter(usable).map(|s| (s.entry.zone, s.order, s.entry.id)).collect();
-        order.sort_unstable();
+        order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         let zones: Vec<_> = order.chunk_by(|a, b| a.0 == b.0).collect();
         let others = if self.settings.cross_zone_price > 0.0 { zones.len() as f64 - 1.0 } else { 1.0 };
         let share = |zone: ZoneId| if zone == self.settings.zone { 1.0 } else { others.max(1.0) };
@@ -917,13 +917,12 @@
         }
         let first_room = self.first_room();
         for entry in backends {
-            let (order, credit) = (self.rng.next_u64(), unit(&mut self.rng));
+            let credit = unit(&mut self.rng);
             let fresh = Server {
                 entry: entry.clone(),
                 joined: now,
                 ratio: 1.0,
                 room: first_room,
-                order,
                 cold_credit: credit,
                 ..Server::default()
             };
@@ -931,7 +930,7 @@
             if entry.started > server.entry.started {
                 // A new process: what was learned of the old one says nothing, but what is out will end.
                 let (out, out_sent) = (server.out, server.out_sent);
-                *server = Server { out, out_sent, order: server.order, ..fresh };
+                *server = Server { out, out_sent, ..fresh };
             }
             server.entry = entry;
         }
