An attempt looks lost after eight times the usual latency, not five

Behind queues of one core latencies have an exponential tail: one attempt in 150 takes five means (by calculation), two a second here; the work goes on after the cancel ("After a cancel or time-out running work goes on") and is done a second time. At fault: OVERDUE, a constant without regard to the tail; at eight it is one in 3,000. Test seen to fail at five.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -47,7 +47,7 @@
 /// Part by which room moves at an answer that is off by as much as the tolerance.
 const ROOM_GAIN: f64 = 0.2;
 /// Multiple of what it was to take by which an attempt is overdue, and part of the aim that it has at least.
-const OVERDUE: f64 = 5.0;
+const OVERDUE: f64 = 8.0;
 const OVERDUE_AIM: f64 = 0.25;
 /// Multiple of what is completed that a pace reaches at most.
 const PACE_MOST: f64 = 5.0;
--- a/src/balance_tests.rs
+++ b/src/balance_tests.rs
@@ -133,3 +133,20 @@
         assert_eq!((home, known.len() - home), (15, abroad));
     }
 }
+
+#[test]
+fn what_three_hundred_nodes_know_covers_the_fleet_evenly() {
+    let state = BackendState::Ready;
+    let marked = |id: u32| u64::from(id).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let backend = |id| Backend { id: BackendId(id), mark: marked(id), state, ..Backend::default() };
+    let mut known = std::collections::BTreeMap::new();
+    for me in 0..300 {
+        let settings = Settings { me, ..one_of_many() };
+        let mut node = Balancer::new(settings, u64::from(me), 0).unwrap();
+        let list = Event::List { kind: ListKind::Full, backends: (0..60).map(backend).collect() };
+        node.handle(1, list, &mut Vec::new());
+        node.members(2).into_iter().for_each(|id| *known.entry(id).or_insert(0) += 1);
+    }
+    // Three each are fifteen nodes for a backend; sets drawn by chance give some of them 7 and some 24.
+    assert!(known.len() == 60 && known.values().all(|nodes| (14..=16).contains(nodes)), "{known:?}");
+}
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -396,6 +396,17 @@
     }
 }
 
+#[test]
+fn an_attempt_that_takes_six_times_as_long_as_others_is_not_lost_yet() {
+    // Where work and waits are exponential one in 150 takes five times the mean, one in 3,000 eight times.
+    let mut feed = Feed::new(settings(), (1..=4).map(backend).collect());
+    feed.serve(40, |_| 30 * MS);
+    let (id, _) = feed.ask(0);
+    let off = Action::Cancel { request: id, attempt: 0 };
+    assert!(!feed.wait(200 * MS).contains(&off));
+    assert!(feed.wait(50 * MS).contains(&off));
+}
+
 #[test]
 fn a_few_silent_attempts_do_not_close_all_room() {
     let mut settings = settings();
