The strain weighs backends by completions: no room stays closed beside idle ones after a burst

Seen by a new test (2 nodes; 2, 12, 50 backends; work of 50 us, 5 ms, 1 s): after a burst with six times the usual latency and 120 answers since, "12 of 50000 ns: 3 of 6 wait" with all backends idle. At fault: split's strain is the plain mean of all ratios; that of a backend which gets no answers any more never moves, and the sum of room is divided by the square. Test seen to fail before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -344,13 +344,15 @@
             if usable && server.done > 0.0 {
                 // A few silent connections must not outweigh all that is answered.
                 let waited = waited.min(MOST_WAITED * server.spent);
-                total = (total.0 + server.spent, total.1 + waited, total.2 + server.ratio, total.3 + 1.0);
+                // By completions: one that is met no more would strain all room for good.
+                let ratio = server.ratio * server.done;
+                total = (total.0 + server.spent, total.1 + waited, total.2 + ratio, total.3 + server.done);
             }
         }
         // What has waited shows a crowd before outcomes do. Guards against a whole fleet that tips or goes
         // silent at once; could waste capacity where latencies are long for another cause.
         let (spent, waited, ratios, count) = total;
-        let strain = ratios / f64::max(count, 1.0) * (1.0 + waited / f64::max(spent, 1e-3));
+        let strain = ratios / f64::max(count, 1e-9) * (1.0 + waited / f64::max(spent, 1e-3));
         if !self.coarse() {
             self.room /= (strain / (TOLERANCE * TOLERANCE)).max(1.0).powi(2);
         }
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -590,6 +590,59 @@
     assert_eq!(most, 2);
 }
 
+#[test]
+fn a_room_that_a_burst_has_closed_opens_again_and_no_one_waits_beside_an_idle_backend() {
+    for (work, tick) in [(MS / 20, MS / 1_000), (5 * MS, MS), (1_000 * MS, MS)] {
+        for fleet in [2, 12, 50] {
+            let aim = (8 * work).max(20 * MS);
+            let whole = Class { aim, deadline: 3 * aim, ..class(Effect::Safe) };
+            let settings = Settings { classes: vec![whole], siblings: 2, tick, ..settings() };
+            let mut feed = Feed::new(settings, (1..=fleet).map(backend).collect());
+            let ask = |feed: &mut Feed| {
+                let id = RequestId(feed.next + 1);
+                feed.next = id.0;
+                feed.give(Event::Request(Request { id, patience: 3 * aim, ..Request::default() }));
+                id
+            };
+            let answer = |feed: &mut Feed, id, takes| {
+                feed.wait(takes);
+                feed.end(id, 0, Outcome::Ok);
+            };
+            for _ in 0..200 {
+                let id = ask(&mut feed);
+                answer(&mut feed, id, work);
+            }
+            // Six times the usual latency at every backend, until rooms are at their floor.
+            for _ in 0..30 {
+                for _ in 0..2 * fleet {
+                    ask(&mut feed);
+                }
+                feed.wait(6 * work);
+                let out: Vec<_> = feed.sent.iter().filter(|s| s.1[0].2).map(|s| *s.0).collect();
+                out.into_iter().for_each(|id| drop(feed.end(id, 0, Outcome::Ok)));
+            }
+            feed.wait(3 * aim);
+            let out: Vec<_> = feed.sent.iter().filter(|s| s.1[0].2).map(|s| *s.0).collect();
+            out.into_iter().for_each(|id| drop(feed.end(id, 0, Outcome::Ok)));
+            // The burst is over: one is out at a time, and others idle. It is never held back.
+            for turn in 0..50 {
+                let id = ask(&mut feed);
+                assert!(feed.sent.contains_key(&id), "{fleet} of {work} ns: held back at turn {turn}");
+                answer(&mut feed, id, work);
+            }
+            // Half as many as there are backends at once find room after ten answers of each and thirty aims.
+            for _ in 0..10 * fleet {
+                let id = ask(&mut feed);
+                answer(&mut feed, id, work);
+            }
+            feed.wait(30 * aim);
+            let all: Vec<_> = (0..fleet / 2).map(|_| ask(&mut feed)).collect();
+            let held = all.iter().filter(|id| !feed.sent.contains_key(id)).count();
+            assert_eq!(held, 0, "{fleet} of {work} ns: {held} of {} wait", all.len());
+        }
+    }
+}
+
 #[test]
 fn a_silent_fleet_gets_no_more_until_it_answers() {
     let mut feed = Feed::new(settings(), (1..=4).map(backend).collect());
