Pushed lists are followed on a watch of the node's own; silent and trickling watches go sooner

Cause: with membershipMode automatic the decisions never ask (Balancer::new adds Task::Ask only where ask_list is set, on_list_failed returns at once), and Node::reload called only there too; so over sockets no call to discovery was ever made, and the list from the start stayed for good. Ruled out: slow backoff (there was no failed call) and lists taken backwards (there was no second list). Change: where lists are pushed the node keeps a watch open by itself, again at once when it ends, then after 10 ms doubling up to a quarter of the drain grace; the health answer waits for the first word of discovery, 10 s at most. SIGHUP moves the watch there too. In both modes: a watch that has spoken is cut after 3.2 s of silence, not 4.2; a line or list that is not whole after 6 s counts as silent; a call of the decisions gets its event though a watch is open; a failed call that SIGHUP brought forward no longer starts a second chain of calls beside the running backoff.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -17,7 +17,12 @@
 /// A watch says something every 2 s, a call is answered or turned down within 3 s: a connection silent for
 /// longer is cut off, and TCP would not tell. Short enough that what was missed is asked for again before
 /// the 6 s are over after which it counts as told.
-pub const SILENCE: Nanos = 4_200 * MS;
+const SILENCE: Nanos = 4_200 * MS;
+/// A watch that has spoken before is cut off sooner: it says something every 2 s, and what is asked for anew
+/// may at first be turned down, which takes up to 3 s more.
+const QUIET: Nanos = 3_200 * MS;
+/// A line or a list is whole within this time, or its sender only trickles: such a one is as good as silent.
+const WHOLE: Nanos = 6 * SECOND;
 /// A connection to discovery that is not up by then is cut off too; asking anew finds the way back sooner
 /// than TCP's own repeats.
 pub const CONNECT: Nanos = 1_000 * MS;
@@ -213,6 +218,10 @@
     inbox: Ring,
     parser: Parser,
     pub heard: Nanos,
+    pub made: Nanos,
+    /// When it was made, or had its last whole line.
+    whole: Nanos,
+    spoke: bool,
     pub deadline: Deadline,
 }
 
@@ -220,6 +229,8 @@
 #[derive(Debug, Default)]
 pub struct News {
     pub updates: Vec<Update>,
+    /// A whole line has come, be it empty.
+    pub spoke: bool,
     /// The call is over, and why.
     pub over: Option<String>,
     /// It ended as it should.
@@ -241,10 +252,19 @@
             inbox: Ring::new(64 * 1024),
             parser,
             heard: now,
+            made: now,
+            whole: now,
+            spoke: false,
             deadline: Deadline::new(),
         }
     }
 
+    /// When it counts as silent.
+    pub fn time_limit(&self) -> Nanos {
+        let silence = if self.spoke { QUIET } else { SILENCE };
+        (self.heard + silence).min(self.whole + WHOLE)
+    }
+
     /// Reads what has come.
     pub fn read(&mut self, now: Nanos) -> News {
         let mut news = News::default();
@@ -281,6 +301,7 @@
         if self.watch {
             while let Some(end) = self.parser.body.iter().position(|b| *b == b'\n') {
                 let line = self.parser.body.split_front(end + 1);
+                (self.whole, self.spoke, news.spoke) = (self.heard, true, true);
                 // An empty line only says that discovery is there.
                 if !line.trim_ascii().is_empty() {
                     news.updates.push(Update::parse(&line)?);
@@ -296,7 +317,7 @@
         }
         let (_, body) = self.parser.message().ok_or("no answer")?;
         news.updates.push(Update::parse(&body)?);
-        (news.over, news.well) = (Some("done".into()), true);
+        (news.over, news.well, news.spoke) = (Some("done".into()), true, true);
         Ok(())
     }
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -44,6 +44,8 @@
     TrimSessions,
     StopAccepting,
     EndDrain,
+    Watch,
+    GoBlind,
 }
 
 /// What a socket belongs to; its epoll token holds this and a number.
@@ -91,6 +93,11 @@
     pool: Pool,
     calls: Slots<Call>,
     rev: u64,
+    /// The decisions wait before they ask for the list again.
+    backing_off: bool,
+    /// Only where lists are pushed: discovery has spoken since the start, and how many calls in a row failed.
+    informed: bool,
+    failed_calls: u32,
     fleet: Fleet,
     reqs: Reqs<client::Call>,
 }
@@ -148,6 +155,9 @@
             pool: Pool::default(),
             calls: Slots::new(4),
             rev: config.known.rev,
+            backing_off: false,
+            informed: deployment.settings.ask_list,
+            failed_calls: 0,
             fleet: Fleet::new(deployment.zones.clone(), deployment.kinds.clone()),
             reqs,
             deployment,
@@ -158,6 +168,7 @@
             format_args!("name={} listen={} sockets={sockets}", config.name, listens),
         );
         node.take_update(&config.known, true);
+        node.follow_pushes();
         node.settle();
         Ok(node)
     }
@@ -230,6 +241,8 @@
             Due::TrimSessions => self.trim_sessions(),
             Due::StopAccepting => self.stop_accepting(),
             Due::EndDrain => self.end_drain(),
+            Due::Watch => self.watch_pushes(),
+            Due::GoBlind => self.informed = true,
         }
     }
 
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -1,15 +1,27 @@
 //! The loop's side of discovery: calls, and what their news does to connections.
 
-use kitefork::{Event, Outcome};
+use kitefork::{Event, Nanos, Outcome};
 use rustix::event::epoll::{self, EventFlags};
 use rustix::io::Errno;
 
 use super::{BOTH, CALL, Due, Node, READ, token};
+use crate::clock::{MS, SECOND};
 use crate::config;
 use crate::discovery::{self, Call, News, Update};
 use crate::fetch::{self, Fetch};
 use crate::net;
 
+/// Where lists are pushed: a failed call is made again after this at first, doubling ...
+const SHORTEST: Nanos = 10 * MS;
+/// ... up to this.
+const MOST_WAIT: Nanos = 500 * MS;
+/// A watch that has lasted for this long ends a row of failures; one that ends at once must not be opened
+/// without a pause.
+const STEADY: Nanos = SECOND;
+/// A node that has heard nothing of its list for this long after its start serves from the one it was given:
+/// old news are better than no service where discovery stays away.
+const BLIND: Nanos = 10 * SECOND;
+
 impl Node {
     /// Follows discovery to where the configuration now has it, and at once, whatever the decisions' backoff:
     /// the old one soon falls silent. Its calls are closed here, so that their end is no failure; the list,
@@ -25,37 +37,63 @@
                 }
                 // A list that was on its way is still wanted; a watch is resumed, or opened early.
                 open.iter().filter(|(_, watch)| !watch).for_each(|_| self.call(false));
-                if self.deployment.settings.ask_list {
-                    self.call(true);
-                }
+                self.call(true);
             }
             Err(why) => self.log.line(self.now, "reload-failed", why),
         }
     }
 
+    fn open_watch(&self) -> Option<u32> {
+        self.calls.iter().find(|(_, call)| call.watch).map(|(number, _)| number)
+    }
+
     pub(super) fn watch(&mut self, on: bool) {
-        let open = self.calls.iter().find(|(_, call)| call.watch).map(|(n, _)| n);
-        if on {
-            // One is open already where a new configuration came before the end of a backoff.
-            if open.is_none() {
-                self.call(true);
-            }
-        } else {
-            if let Some(number) = open {
-                self.calls.remove(number);
-            }
-            // Each call of the decisions gets one event: nothing has changed.
-            self.take_update(&Update { rev: self.rev, ..Update::default() }, false);
+        self.backing_off = false;
+        let open = self.open_watch();
+        if on && open.is_none() {
+            return self.call(true);
+        }
+        // One is open already where a new configuration came before the end of a backoff.
+        if !on && let Some(number) = open {
+            self.calls.remove(number);
+        }
+        // Each call of the decisions gets one event: nothing has changed.
+        self.take_update(&Update { rev: self.rev, ..Update::default() }, false);
+    }
+
+    /// Where lists are pushed the decisions never ask, yet over sockets what is pushed comes on a watch: the
+    /// node keeps one open by itself from its start on. What the agent has counts as told whether or not this
+    /// node has heard it, so no client is taken before it has spoken.
+    pub(super) fn follow_pushes(&mut self) {
+        if !self.deployment.settings.ask_list {
+            self.wheel.hang(self.now + BLIND, Due::GoBlind);
+            self.call(true);
+        }
+    }
+
+    pub(super) fn watch_pushes(&mut self) {
+        if self.open_watch().is_none() {
+            self.call(true);
         }
     }
 
+    /// A part of the grace for drains, within these bounds: where lists are pushed, a node without a watch must
+    /// be back on it well within that.
+    fn part_of_grace(&self, part: Nanos, most: Nanos) -> Nanos {
+        (self.deployment.settings.rules.drain_grace / part).clamp(SHORTEST, most)
+    }
+
     pub(super) fn call(&mut self, watch: bool) {
         self.trace.line(self.now, format_args!("call watch={}", u8::from(watch)));
         let opened = net::dial(self.discovery).and_then(|socket| {
             let number = self.calls.vacant().ok_or(Errno::MFILE)?;
             epoll::add(&self.epoll, &socket, token(CALL, number), BOTH)?;
             let mut call = Call::new(socket, watch, self.rev, self.discovery, self.now);
-            call.deadline.set(self.now + discovery::CONNECT, &mut self.wheel, Due::Call(number));
+            let by = match self.deployment.settings.ask_list {
+                true => discovery::CONNECT,
+                false => self.part_of_grace(2, discovery::CONNECT),
+            };
+            call.deadline.set(self.now + by, &mut self.wheel, Due::Call(number));
             self.calls.insert(call);
             Ok(())
         });
@@ -67,7 +105,20 @@
     fn call_failed(&mut self, why: impl std::fmt::Display) {
         self.trace.line(self.now, format_args!("call-failed why={why}"));
         self.log.line(self.now, "discovery-failed", why);
-        self.reqs.feed(self.now, Event::ListFailed);
+        if !self.deployment.settings.ask_list {
+            // The agent is this node's own: no crowd of others calls it. At once first, then ever more seldom.
+            let wait = match self.failed_calls {
+                0 => 0,
+                n => self.part_of_grace(4, MOST_WAIT).min(SHORTEST << n.min(8)),
+            };
+            self.failed_calls += 1;
+            self.wheel.hang(self.now + wait, Due::Watch);
+        } else if !self.backing_off {
+            // A call that a new configuration has brought forward may fail before the backoff is over: the
+            // decisions will ask anyway, and would from then on ask twice.
+            self.backing_off = true;
+            self.reqs.feed(self.now, Event::ListFailed);
+        }
     }
 
     pub(super) fn read_call(&mut self, number: u32, flags: EventFlags) {
@@ -82,14 +133,18 @@
         }
         let news = call.read(self.now);
         if call.outbox.is_empty() {
-            call.deadline.set(call.heard + discovery::SILENCE, &mut self.wheel, Due::Call(number));
+            call.deadline.set(call.time_limit(), &mut self.wheel, Due::Call(number));
         }
         self.take_news(number, news);
     }
 
     pub(super) fn take_news(&mut self, number: u32, news: News) {
-        if news.over.is_some() {
-            self.calls.remove(number);
+        self.informed |= news.spoke;
+        if news.over.is_some()
+            && let Some(call) = self.calls.remove(number)
+            && self.now.saturating_sub(call.made) > STEADY
+        {
+            self.failed_calls = 0;
         }
         for update in &news.updates {
             self.take_update(update, false);
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -183,10 +183,14 @@
     }
 
     pub(super) fn reply_health(&mut self, number: u32) {
-        let (status, word) = match (self.draining, self.fleet.has_ready()) {
-            (true, _) => (503, "ending\n"),
-            (false, false) => (503, "no backend is ready\n"),
-            (false, true) => (200, "ok\n"),
+        let (status, word) = if self.draining {
+            (503, "ending\n")
+        } else if !self.informed {
+            (503, "discovery has not spoken\n")
+        } else if !self.fleet.has_ready() {
+            (503, "no backend is ready\n")
+        } else {
+            (200, "ok\n")
         };
         self.reply(number, status, &[], word.as_bytes(), false);
     }
