The drain ends before SIGKILL where deadlines are short, and takes along whoever still waits

Cause: end.rs, begin_drain: the last answers came at longest.clamp(0.6 s, 3 s) + 0.5 s, so at 1.1 s after SIGTERM where every deadline is under 0.6 s, while SIGKILL may come at the longest deadline + 0.7 s: 0.85 s at 150 ms. end_drain closed sessions right after queueing their answers and left unread what lay in sockets; stop_accepting dropped the listener though accept had paused for want of room, which resets all that wait in its queue. Change: answers at the longest deadline + 0.5 s, sessions then have 0.15 s to end by themselves; what comes unread in that time is refused with 503 and never sent; a req opened in the drain gets no more patience than is left; the listener stays (line late-clients) while clients wait for a descriptor.

--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -44,6 +44,7 @@
     TrimSessions,
     StopAccepting,
     EndDrain,
+    Quit,
     Watch,
     GoBlind,
 }
@@ -80,6 +81,10 @@
     /// Readable when the node is to end, and when it is to read its configuration anew.
     signals: [UnixStream; 2],
     draining: bool,
+    /// From SIGTERM on: when whatever waits gets its answer.
+    ends: Option<Nanos>,
+    /// SIGKILL is due: the process ends whatever is open.
+    quit: bool,
     /// For all that sessions and fetches hold in buffers.
     budget: Budget,
     /// For all that sessions and fetches hold in descriptors.
@@ -146,6 +151,8 @@
             accepting: true,
             signals,
             draining: false,
+            ends: None,
+            quit: false,
             budget: Budget::new(config.memory_mb.max(4) * (1 << 20) / 4),
             ledger,
             trimming: false,
@@ -201,7 +208,7 @@
     }
 
     fn is_over(&self) -> bool {
-        self.draining && self.listener.is_none() && self.sessions.len() == 0
+        self.quit || (self.draining && self.listener.is_none() && self.sessions.len() == 0)
     }
 
     fn on_socket(&mut self, kind: u64, number: u32, flags: EventFlags) {
@@ -241,6 +248,7 @@
             Due::TrimSessions => self.trim_sessions(),
             Due::StopAccepting => self.stop_accepting(),
             Due::EndDrain => self.end_drain(),
+            Due::Quit => self.quit(),
             Due::Watch => self.watch_pushes(),
             Due::GoBlind => self.informed = true,
         }
--- a/node/src/node/end.rs
+++ b/node/src/node/end.rs
@@ -2,16 +2,21 @@
 
 use kitefork::Nanos;
 
+use super::sessions::ACCEPT_PAUSE;
 use super::{Due, Node};
 use crate::client::Session;
 use crate::clock::{MS, SECOND};
 
-/// New connections are still taken for this long after SIGTERM: the front does not know yet.
+/// New connections are still taken for this long after SIGTERM: the front does not know yet ...
 const ACCEPT_ON: Nanos = 600 * MS;
-/// After SIGTERM all is over within the longest deadline, counted as 3 s where it is longer, and this:
-/// SIGKILL may come 0.2 s later.
+/// ... but no longer than up to this before the last answers, where every deadline is short.
+const LAST_TAKEN: Nanos = 100 * MS;
+/// After SIGTERM all is answered within the longest deadline, counted as 3 s where it is longer, and this:
+/// SIGKILL may come 0.2 s later ...
 const DRAIN_MORE: Nanos = 500 * MS;
 const LONGEST_DRAIN: Nanos = 3 * SECOND;
+/// ... of which the last answers have this to go out.
+const FLUSH: Nanos = 150 * MS;
 
 impl Node {
     pub(super) fn begin_drain(&mut self) {
@@ -21,14 +26,23 @@
         self.draining = true;
         self.log.line(self.now, "sigterm", format_args!("sessions={}", self.sessions.len()));
         let longest = self.deployment.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-        self.wheel.hang(self.now + ACCEPT_ON, Due::StopAccepting);
-        self.wheel.hang(self.now + longest.clamp(ACCEPT_ON, LONGEST_DRAIN) + DRAIN_MORE, Due::EndDrain);
+        let ends = self.now + longest.min(LONGEST_DRAIN) + DRAIN_MORE;
+        self.ends = Some(ends);
+        self.wheel.hang((self.now + ACCEPT_ON).min(ends - LAST_TAKEN), Due::StopAccepting);
+        self.wheel.hang(ends, Due::EndDrain);
+        self.wheel.hang(ends + FLUSH, Due::Quit);
     }
 
     /// Takes whoever still waits, then nobody; sessions without a req end.
     pub(super) fn stop_accepting(&mut self) {
         self.set_accepting(true);
         self.accept();
+        // Guards against clients that wait for a descriptor: with the listener they would be reset.
+        let ending = self.ends.is_some_and(|ends| self.now >= ends);
+        if !self.accepting && !ending {
+            self.log.line(self.now, "late-clients", "wait for a session to end");
+            return self.wheel.hang(self.now + ACCEPT_PAUSE, Due::StopAccepting);
+        }
         self.listener = None;
         let numbers: Vec<u32> = self.sessions.iter().map(|(number, _)| number).collect();
         for number in numbers {
@@ -40,12 +54,21 @@
         }
     }
 
-    /// SIGKILL is near: whatever waits gets its answer now.
+    /// SIGKILL is near: whatever waits gets its answer now, and what has come unread is refused. Sessions then
+    /// end by themselves once their answer is written.
     pub(super) fn end_drain(&mut self) {
         for req in self.reqs.unanswered() {
             self.reqs.give_back(self.now, req);
         }
         self.settle();
+        self.stop_accepting();
+        self.log.line(self.now, "last-answers", format_args!("sessions={}", self.sessions.len()));
+    }
+
+    /// No time is left. A socket that closes with bytes unread resets its connection, and what the kernel still
+    /// holds of an answer is lost with it.
+    pub(super) fn quit(&mut self) {
+        self.quit = true;
         let numbers: Vec<u32> = self.sessions.iter().map(|(number, _)| number).collect();
         for number in numbers {
             self.close_session(number);
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -13,7 +13,7 @@
 use crate::req::{Ask, Barred, Synthetic};
 
 /// When clients can't be taken, taking them goes on after this time.
-const ACCEPT_PAUSE: Nanos = 50 * MS;
+pub(super) const ACCEPT_PAUSE: Nanos = 50 * MS;
 
 impl Node {
     /// Takes every client that waits: what the kernel has accepted counts as ours.
@@ -195,7 +195,14 @@
         self.reply(number, status, &[], word.as_bytes(), false);
     }
 
-    pub(super) fn open_req(&mut self, number: u32, ask: Ask, call: client::Call) {
+    pub(super) fn open_req(&mut self, number: u32, mut ask: Ask, call: client::Call) {
+        if let Some(ends) = self.ends {
+            if self.now >= ends {
+                return self.reply(number, 503, &[], b"the node ends\n", true);
+            }
+            // No attempt outlives the node: what it began would be cut off and then have failed.
+            ask.patience = ask.patience.min(ends - self.now);
+        }
         let (req, last_resort) = match self.reqs.open(self.now, number, ask, call) {
             Ok(opened) => opened,
             Err(Barred::Full) => {
