No session is given up for nobody, nor one on which a request has come unread

Cause: accept() made room before it looked whether a client waits, so at a full table one session closed for nobody after each accept; and room_for_session, room_for_fetch and trim_sessions closed what looked idle though its request lay unread in the socket, in the same turn of the loop (the listener's event goes first): a new connection closed without an answer. Change: a full table looks at the listener first; a session that can be spared is looked at for unread bytes, and read instead of closed.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -5,6 +5,7 @@
 use kitefork::{Effect, Nanos};
 use kitefork_settings::Deployment;
 use rustix::event::epoll::EventFlags;
+use rustix::net::RecvFlags;
 
 use crate::clock::{MS, SECOND};
 use crate::http1::{self, Bad, Head, MOST_ANSWER, MOST_HEAD, Parser, Start};
@@ -203,6 +204,13 @@
         }
     }
 
+    /// Bytes have come, maybe of a request, that nobody has read.
+    pub fn has_unread(&self) -> bool {
+        let mut byte = [0];
+        self.phase == Phase::Open
+            && matches!(rustix::net::recv(&self.socket, &mut byte, RecvFlags::PEEK), Ok((1.., _)))
+    }
+
     fn parse(&mut self, now: Nanos) -> Option<Intake> {
         if self.inbox.is_empty() {
             return None;
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 use rustix::net::{
     AddressFamily, SocketFlags, SocketType, accept_with, bind, connect, listen, socket_with, sockopt,
@@ -40,6 +41,20 @@
     }
 }
 
+
+/// Whether a client waits to be accepted.
+pub fn has_client(listener: &OwnedFd) -> bool {
+    is_now(listener, PollFlags::IN)
+}
+
+/// Whether any of these, an error or an end is to be seen on a socket, without waiting for it.
+fn is_now(socket: &OwnedFd, wanted: PollFlags) -> bool {
+    let mut look = [PollFd::new(socket, wanted)];
+    let none = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let found = poll(&mut look, Some(&none));
+    found.is_ok() && look[0].revents().intersects(wanted | PollFlags::HUP | PollFlags::ERR)
+}
+
 /// Starts a connection; it is up once the socket can be written to.
 pub fn dial(address: SocketAddr) -> Result<OwnedFd, Errno> {
     let socket = stream(address)?;
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -77,12 +77,12 @@
         let lends = self.ledger.lends(Purpose::Session, self.sessions.len());
         let session = if lends { self.spare_session() } else { None };
         if let Some((.., number)) = session.filter(|(class, ..)| *class <= HARDLY_MISSED) {
-            return self.close_session(number);
+            return self.spare(number);
         }
         if let Some(idle) = self.pool.spare() {
             return self.fetches.remove(idle).is_some();
         }
-        session.is_some_and(|(.., number)| self.close_session(number))
+        session.is_some_and(|(.., number)| self.spare(number))
     }
 
     /// Moves a fetch on as far as its socket lets it.
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -18,7 +18,13 @@
 impl Node {
     /// Takes every client that waits: what the kernel has accepted counts as ours.
     pub(super) fn accept(&mut self) {
-        while self.accepting {
+        while self.accepting
+            && let Some(listener) = &self.listener
+        {
+            // No session is given up for nobody.
+            if !self.session_fits() && !net::has_client(listener) {
+                return;
+            }
             if !self.room_for_session() {
                 self.log.line(self.now, "sessions-full", format_args!("held={}", self.sessions.len()));
                 return self.pause_accepting();
@@ -31,7 +37,7 @@
                     self.log.line(self.now, "accept-failed", error);
                     // Out of descriptors: an idle session gives up its own. No spin on what can't be taken.
                     if let Some((.., number)) = self.spare_session() {
-                        self.close_session(number);
+                        self.spare(number);
                     }
                     return self.pause_accepting();
                 }
@@ -52,20 +58,41 @@
         }
     }
 
+    fn session_fits(&self) -> bool {
+        self.ledger.fits(Purpose::Session, self.sessions.len(), self.fetches.len())
+    }
+
     /// Whether another session may be held; what can best be missed closes for it.
     fn room_for_session(&mut self) -> bool {
-        if self.ledger.fits(Purpose::Session, self.sessions.len(), self.fetches.len()) {
+        if self.session_fits() {
             return true;
         }
-        let spare = self.spare_session();
-        let hardly_missed = spare.is_some_and(|(class, ..)| class <= HARDLY_MISSED);
-        if !hardly_missed
-            && self.ledger.lends(Purpose::Fetch, self.fetches.len())
-            && let Some(idle) = self.pool.spare()
-        {
-            return self.fetches.remove(idle).is_some();
+        // One that turns out to have asked is spared no more: each turn finds another, or closes one.
+        for _ in 0..=self.sessions.len() {
+            let spare = self.spare_session();
+            let hardly_missed = spare.is_some_and(|(class, ..)| class <= HARDLY_MISSED);
+            if !hardly_missed
+                && self.ledger.lends(Purpose::Fetch, self.fetches.len())
+                && let Some(idle) = self.pool.spare()
+            {
+                return self.fetches.remove(idle).is_some();
+            }
+            let Some((.., number)) = spare else { return false };
+            if self.spare(number) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Closes a session that can be spared, unless a request has come on it that nobody has read: to its client
+    /// that close would be one without an answer. Tells whether it has closed.
+    pub(super) fn spare(&mut self, number: u32) -> bool {
+        if self.sessions.get(number).is_some_and(Session::has_unread) {
+            self.read_session(number);
+            return self.sessions.get(number).is_none();
         }
-        spare.is_some_and(|(.., number)| self.close_session(number))
+        self.close_session(number)
     }
 
     /// The session that can be spared most: its class, since when, its number.
@@ -93,7 +120,7 @@
             .collect();
         spare.sort_unstable();
         for (.., number) in spare.into_iter().take(over) {
-            self.close_session(number);
+            self.spare(number);
         }
         self.watch_sessions();
     }
