Nothing is sent on for a client that has left, and no deadline fires before the sockets are read

Cause, one class: what a turn of the loop did first decided, and a stall puts everything into one turn. - Session::read gave a whole message before it looked for the end behind it: 'left' reqs were opened and sent (node/src/client.rs, read). - Node::run took EINTR, which is how a stopped process goes on, for an empty look, and fired every deadline before it read a socket; it took 256 events at a time and fired deadlines between two such pieces. - A send that one event led to went out before a later event of the same turn, that the client had left or the backend drains, was read; an attempt that came up through a stall was written after its time, or with cancel off for nobody. Ruled out: lost wake-ups (epoll is level-triggered, each event came in the next look). Change: a message is followed by a look for the end behind it (a half-close counts as gone, as the protocol has it; health is still answered); one look takes all that is ready; EINTR and a late wake-up look again; leaves and news of discovery go first and are carried out only when all of them are read; a send for a req that is over is moot, an unwritten attempt ends with its client; an attempt is not written after its time; an idle connection that is too old by the clock is not used.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::{MS, SECOND};
 use crate::http1::{self, Bad, Head, MOST_ANSWER, MOST_HEAD, Parser, Start};
+use crate::net;
 use crate::req::{Ask, Synthetic};
 use crate::ring::{Body, Budget, Read, Ring};
 use crate::wheel::Deadline;
@@ -33,6 +34,8 @@
 const KEPT: Nanos = 2 * SECOND;
 /// Up to this class of `spare`, a session is hardly missed: its client has not come back, or not lately.
 pub const HARDLY_MISSED: u8 = 2;
+/// Pieces that are read and thrown away at most before a session closes.
+const MOST_PARTING: usize = 16;
 /// Paths that clients may ask for.
 const API: &str = "/api";
 const HEALTH: &str = "/_health";
@@ -61,6 +64,9 @@
     /// When the first byte of the current message came.
     began: Option<Nanos>,
     leave_given: bool,
+    /// Its client has ended its sending, or the connection has broken. One that closes has gone, and a half-close
+    /// looks the same from here.
+    pub left: bool,
     /// When it came to its present state: every time limit on a client counts from here, so that a client
     /// which sends or reads a byte now and then does not stay for ever.
     since: Nanos,
@@ -96,6 +102,7 @@
             keep_alive: true,
             began: None,
             leave_given: false,
+            left: false,
             since: now,
             heard: now,
             asked: 0,
@@ -188,6 +195,9 @@
                 && self.outbox.is_empty()
                 && let Some(intake) = self.parse(now)
             {
+                if matches!(intake, Intake::Message(..)) {
+                    self.look_behind();
+                }
                 return intake;
             }
             match self.inbox.read_from(&self.socket) {
@@ -204,6 +214,19 @@
         }
     }
 
+    /// Looks whether the client has left behind its message, as it may have while that waited in the accept
+    /// queue, in a buffer or through a stall.
+    fn look_behind(&mut self) {
+        self.left |= loop {
+            match self.inbox.read_from(&self.socket) {
+                Read::Some => {}
+                Read::Dry => break false,
+                Read::Full => break net::has_left(&self.socket),
+                Read::End | Read::Broken => break true,
+            }
+        };
+    }
+
     /// Bytes have come, maybe of a request, that nobody has read.
     pub fn has_unread(&self) -> bool {
         let mut byte = [0];
@@ -211,6 +234,21 @@
             && matches!(rustix::net::recv(&self.socket, &mut byte, RecvFlags::PEEK), Ok((1.., _)))
     }
 
+    /// The last turn before its socket closes. With bytes unread that is a reset, which throws away what the
+    /// kernel has not yet sent of an answer.
+    pub fn part(&mut self) {
+        if self.asked == 0 && self.phase == Phase::Open {
+            return;
+        }
+        for _ in 0..MOST_PARTING {
+            let count = self.inbox.len();
+            self.inbox.consume(count);
+            if self.inbox.read_from(&self.socket) != Read::Some {
+                return;
+            }
+        }
+    }
+
     fn parse(&mut self, now: Nanos) -> Option<Intake> {
         if self.inbox.is_empty() {
             return None;
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -35,6 +35,7 @@
     pub backend: BackendId,
     pub phase: Phase,
     pub job: Option<Job>,
+    /// When its attempt is given up; in the pool, when it is too old to be used again.
     pub until: Nanos,
     pub write_by: Nanos,
     pub outbox: Ring,
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -41,6 +41,10 @@
     }
 }
 
+/// Whether the other side has ended its sending or reset the connection, whatever still lies unread.
+pub fn has_left(socket: &OwnedFd) -> bool {
+    is_now(socket, PollFlags::RDHUP)
+}
 
 /// Whether a client waits to be accepted.
 pub fn has_client(listener: &OwnedFd) -> bool {
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -31,6 +31,8 @@
 
 /// A probe that has no answer by then has failed.
 const PROBE_PATIENCE: Nanos = 500 * MS;
+/// A loop that wakes so much later than it wanted to has been stopped meanwhile.
+const LATE: Nanos = 50 * MS;
 /// What hangs on the wheel.
 #[derive(Clone, Copy)]
 enum Due {
@@ -61,6 +63,7 @@
 
 const READ: EventFlags = EventFlags::IN.union(EventFlags::RDHUP);
 const BOTH: EventFlags = READ.union(EventFlags::OUT);
+const LEFT: EventFlags = EventFlags::RDHUP.union(EventFlags::HUP).union(EventFlags::ERR);
 
 fn token(kind: u64, number: u32) -> EventData {
     EventData::new_u64(kind << 32 | u64::from(number))
@@ -182,20 +185,43 @@
 
     /// Runs until a SIGTERM has been followed to its end.
     pub fn run(mut self) -> Result<(), String> {
-        let mut events = Vec::with_capacity(256);
+        let (mut events, mut looked_again) = (Vec::new(), false);
         while !self.is_over() {
-            let pause = self.wheel.next().map(|at| at.saturating_sub(self.clock.read()));
+            let wake = self.wheel.next();
+            let pause = wake.map(|at| at.saturating_sub(self.clock.read()));
             let pause =
                 pause.map(|ns| Timespec { tv_sec: (ns / SECOND) as i64, tv_nsec: (ns % SECOND) as i64 });
             events.clear();
+            // All that is ready in one look: a deadline must not fire, and nothing must be sent, while an
+            // answer, a client's leave or a drain still waits for the next one, as after a stall.
+            events.reserve(self.sessions.len() + self.fetches.len() + self.calls.len() + 4);
             match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), pause.as_ref()) {
-                Ok(_) | Err(Errno::INTR) => {}
+                Ok(_) => {}
+                // A process that was stopped and goes on comes here too: much may lie in its sockets, and no
+                // deadline may fire before that is read.
+                Err(Errno::INTR) => continue,
                 Err(error) => return Err(format!("epoll: {error}")),
             }
             self.now = self.clock.read();
-            for event in &events {
-                let (data, flags) = (event.data.u64(), event.flags);
-                self.on_socket(data >> 32, data as u32, flags);
+            // Stopped between the wait and the clock: what looked quiet may be so no longer.
+            if events.is_empty() && !looked_again && wake.is_some_and(|at| self.now > at + LATE) {
+                looked_again = true;
+                continue;
+            }
+            looked_again = false;
+            // What forbids a send goes before what may lead to one, and is carried out only when all of it is
+            // known: clients that have left, and news of the backends.
+            let of = |event: &epoll::Event| (event.data.u64() >> 32, event.data.u64() as u32, event.flags);
+            let (first, then): (Vec<_>, Vec<_>) = events
+                .iter()
+                .map(of)
+                .partition(|(kind, _, flags)| *kind == CALL || (*kind == SESSION && flags.intersects(LEFT)));
+            for (kind, number, flags) in first {
+                self.on_socket(kind, number, flags);
+            }
+            self.settle();
+            for (kind, number, flags) in then {
+                self.on_socket(kind, number, flags);
                 self.settle();
             }
             for due in self.wheel.fire(self.now) {
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -14,6 +14,12 @@
 
 impl Node {
     pub(super) fn start_fetch(&mut self, backend: BackendId, job: Job, until: Nanos, write_by: Nanos) {
+        // Its client may have left between the decision and here.
+        if let Job::Req { req, .. } = job
+            && !self.reqs.waits(req)
+        {
+            return self.report(job, Outcome::Moot, None);
+        }
         let bytes = match job {
             Job::Probe { .. } => http1::write("GET /ping HTTP/1.1", [("host", "kitefork")], None),
             Job::Req { req, .. } => match self.reqs.cargo(req) {
@@ -42,7 +48,9 @@
     pub(super) fn connection(&mut self, backend: BackendId) -> Result<u32, Outcome> {
         let endpoint = self.fleet.endpoint(backend).ok_or(Outcome::ConnectFailed)?;
         while let Some(number) = self.pool.take(backend) {
+            // After a stall the wheel has not yet told that it stands idle for too long.
             if let Some(fetch) = self.fetches.get_mut(number)
+                && self.now < fetch.until
                 && fetch.is_sound()
             {
                 fetch.phase = fetch::Phase::Sending;
@@ -89,6 +97,12 @@
     pub(super) fn go_on(&mut self, number: u32, ready: bool) {
         let Some(fetch) = self.fetches.get_mut(number) else { return };
         let before = fetch.phase;
+        // A connection that has come up, or taken more, through a stall: its time may be over though the wheel
+        // has not said so yet.
+        let unwritten = matches!(before, fetch::Phase::Connecting | fetch::Phase::Sending);
+        if unwritten && (self.now > fetch.write_by || self.now >= fetch.until) {
+            return self.end_fetch(number, Outcome::ConnectFailed);
+        }
         match fetch.go_on(ready) {
             Progress::Going => {
                 let wanted = match fetch.phase {
@@ -125,6 +139,7 @@
             fetch.phase = fetch::Phase::Idle;
             // Clearly before the backend's machine would close it: what crosses that close is a reset.
             let by = self.now.saturating_add(self.deployment.idle_limit / 4 * 3);
+            fetch.until = by;
             fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
             self.pool.put(backend, number);
         } else {
@@ -135,6 +150,19 @@
         }
     }
 
+    /// A req has lost its client: an attempt that is not written whole is not written at all, also where the
+    /// deployment lets no attempt be called off.
+    pub(super) fn call_off(&mut self, req: u32) {
+        let unwritten = |(_, fetch): &(u32, &Fetch)| {
+            let of_req = matches!(fetch.job, Some(Job::Req { req: its, .. }) if its == req);
+            of_req && fetch.phase != fetch::Phase::Waiting
+        };
+        let found = self.fetches.iter().find(unwritten).map(|(number, _)| number);
+        if let Some(number) = found {
+            self.end_fetch(number, Outcome::Moot);
+        }
+    }
+
     /// Closes a fetch's connection, and only then tells how its attempt ended.
     pub(super) fn end_fetch(&mut self, number: u32, outcome: Outcome) {
         if let Some(Fetch { job: Some(job), .. }) = self.fetches.remove(number) {
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -5,7 +5,7 @@
 use kitefork::Nanos;
 use rustix::event::epoll::{self, EventFlags};
 
-use super::{BOTH, Due, LISTENER, Node, READ, SESSION, token};
+use super::{BOTH, Due, LEFT, LISTENER, Node, READ, SESSION, token};
 use crate::client::{self, HARDLY_MISSED, Intake, Route, Session};
 use crate::clock::MS;
 use crate::ledger::Purpose;
@@ -145,10 +145,12 @@
 
     /// Closes a session; a req that it waits for has lost its client.
     pub(super) fn close_session(&mut self, number: u32) -> bool {
-        let Some(session) = self.sessions.remove(number) else { return false };
+        let Some(mut session) = self.sessions.remove(number) else { return false };
         if let Some(req) = session.req {
             self.reqs.gone(self.now, req);
+            self.call_off(req);
         }
+        session.part();
         true
     }
 
@@ -165,9 +167,10 @@
     }
 
     pub(super) fn session_ready(&mut self, number: u32, flags: EventFlags) {
-        let left = flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR);
+        let Some(session) = self.sessions.get_mut(number) else { return };
+        session.left |= flags.intersects(LEFT);
         // With a full inbox the end can't be read, and would be told again without a pause.
-        if left && self.sessions.get(number).is_some_and(Session::is_stuffed) {
+        if session.left && session.is_stuffed() {
             self.close_session(number);
         } else {
             self.read_session(number);
@@ -195,7 +198,15 @@
             }
             Intake::Message(head, body, began) => {
                 let waited = self.now.saturating_sub(began);
+                let left = session.left;
                 match client::route(head, body, &self.deployment, waited) {
+                    // Nobody waits for it: it must not run. What asks nothing of a backend is answered all the
+                    // same, for those who end their sending with the request.
+                    Route::Req(..) if left => {
+                        self.trace.line(self.now, format_args!("left session={number}"));
+                        self.close_session(number);
+                        return;
+                    }
                     Route::Health => self.reply_health(number),
                     Route::Wrong(status, why) => {
                         self.log.line(self.now, "bad-request", format_args!("status={status} why={why}"));
@@ -262,8 +273,8 @@
         body: &[u8],
         end: bool,
     ) {
-        let end = end || self.draining;
         if let Some(session) = self.sessions.get_mut(number) {
+            let end = end || self.draining || session.left;
             session.answer(self.now, status, headers, body, end);
         }
     }
--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -190,6 +190,11 @@
         self.table.get(id).map(|req| &req.cargo)
     }
 
+    /// It has no answer yet, and somebody waits for it.
+    pub fn waits(&self, id: u32) -> bool {
+        self.table.get(id).is_some_and(|req| !req.over)
+    }
+
     /// An attempt has ended. Gives the client session that is now to have its answer, if it is the
     /// req's first and the client still waits.
     pub fn ended(&mut self, now: Nanos, id: u32, attempt: u8, outcome: Outcome) -> Option<u32> {
@@ -236,7 +241,7 @@
 
     /// Answers a req over the head of the decisions; tells whether it still waited.
     fn cut_short(&mut self, now: Nanos, id: u32, answer: Synthetic) -> bool {
-        let waits = self.table.get(id).is_some_and(|req| !req.over);
+        let waits = self.waits(id);
         if waits {
             self.answer(now, id, answer);
             self.feed(now, Event::ClientGone { request: RequestId(id) });
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -7,7 +7,9 @@
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
-use rustix::net::sockopt::{Timeout, set_socket_timeout};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::net::sockopt::{Timeout, set_socket_linger, set_socket_timeout};
+use rustix::process::{Pid, Signal, WaitOptions, kill_process, waitpid};
 
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -55,6 +57,55 @@
 
     pub fn close(self) {}
 
+    /// The other side has ended the connection.
+    pub fn has_ended(&mut self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let ended =
+            !matches!(self.stream.read(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock);
+        self.stream.set_nonblocking(false).unwrap();
+        ended
+    }
+
+    /// Asks again and again until the answer is this one.
+    pub fn ask_until(&mut self, request: &str, wanted: &str) {
+        let since = std::time::Instant::now();
+        while !self.send(request).expect("\n").is_empty() {
+            let head = self.expect("\r\n\r\n");
+            let length = head.split("content-length: ").nth(1).and_then(|rest| rest.split('\r').next());
+            let body = self.take(length.unwrap().parse().unwrap());
+            if body == wanted {
+                return;
+            }
+            assert!(since.elapsed() < LIMIT, "{body}");
+        }
+    }
+
+    /// So many bytes.
+    fn take(&mut self, count: usize) -> String {
+        while self.got.len() < count {
+            let mut bytes = [0; 4096];
+            let read = self.stream.read(&mut bytes).unwrap();
+            assert!(read > 0);
+            self.got.extend_from_slice(&bytes[..read]);
+        }
+        String::from_utf8(self.got.drain(..count).collect()).unwrap()
+    }
+
+    /// Sends; tells whether the other side is still there.
+    pub fn try_send(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).is_ok()
+    }
+
+    /// Closes with a reset.
+    pub fn reset(self) {
+        set_socket_linger(&self.stream, Some(Duration::ZERO)).unwrap();
+    }
+
+    /// Ends the sending alone.
+    pub fn end(&mut self) {
+        self.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    }
+
     /// A backend's whole answer.
     pub fn serve(&mut self, status: &str, body: &str) {
         self.send(&format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
@@ -87,6 +138,17 @@
         self.0.accept().is_err()
     }
 
+    /// The node's next connection, if one waits here.
+    pub fn poll(&self) -> Option<Line> {
+        self.0.set_nonblocking(true).unwrap();
+        let found = self.0.accept().ok();
+        self.0.set_nonblocking(false).unwrap();
+        found.map(|(stream, _)| {
+            stream.set_nonblocking(false).unwrap();
+            Line::new(stream)
+        })
+    }
+
     /// Waits for the node's next connection.
     pub fn wait(&self) -> Line {
         set_socket_timeout(&self.0, Timeout::Recv, Some(LIMIT)).unwrap();
@@ -188,17 +250,29 @@
     }
 
     pub fn terminate(&self) {
-        self.signal(rustix::process::Signal::TERM);
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops the node where it is: what comes from now on crosses whatever it was about to do.
+    pub fn stall(&self) {
+        self.signal(Signal::STOP);
+        let pid = Some(Pid::from_child(&self.node));
+        let (_, status) = waitpid(pid, WaitOptions::UNTRACED).unwrap().unwrap();
+        assert!(status.stopped());
+    }
+
+    pub fn go_on(&self) {
+        self.signal(Signal::CONT);
     }
 
     /// Replaces the configuration by what `change` makes of the first one, and tells the node.
     pub fn reload(&self, change: impl Fn(&str) -> String) {
         std::fs::write(config_path(), change(&self.config)).unwrap();
-        self.signal(rustix::process::Signal::HUP);
+        self.signal(Signal::HUP);
     }
 
-    fn signal(&self, signal: rustix::process::Signal) {
-        rustix::process::kill_process(rustix::process::Pid::from_child(&self.node), signal).unwrap();
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.node), signal).unwrap();
     }
 
     pub fn wait_exit(mut self) -> ExitStatus {
@@ -206,6 +280,23 @@
     }
 }
 
+/// Looks again and again until what is looked for is there.
+pub fn until<T>(look: impl Fn() -> Option<T>) -> T {
+    let since = std::time::Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(since.elapsed() < LIMIT, "it never came");
+        pass(1);
+    }
+}
+
+/// Lets a time limit run out that is part of what is played.
+pub fn pass(ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+}
+
 impl Drop for World {
     fn drop(&mut self) {
         let _ = self.node.kill();
@@ -213,8 +304,13 @@
     }
 }
 
-fn next_line(log: &mut impl BufRead) -> String {
+fn next_line(log: &mut BufReader<ChildStderr>) -> String {
     let mut line = String::new();
+    if log.buffer().is_empty() {
+        let mut look = [PollFd::new(log.get_ref(), PollFlags::IN)];
+        let limit = Timespec { tv_sec: LIMIT.as_secs() as i64, tv_nsec: 0 };
+        assert!(poll(&mut look, Some(&limit)).unwrap() > 0, "the log says nothing more");
+    }
     assert!(log.read_line(&mut line).unwrap() > 0, "the log has ended");
     line
 }
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -1,6 +1,7 @@
 //! Scenarios over sockets, against the program as it is shipped.
 
 mod common;
+mod crossings;
 
 use common::{Party, WATCH, World, changes, entry, more_changes, report, run};
 
