Cold backends are taken to bear what others complete, not what they are sent

Traced (BALANCER_TRACE=1 in a scratch copy): 44 sends in 1.5 s from 41 of 291 nodes, all but two turned away. In those seconds the fleet sent 9,500 first tries a second and completed 4,000, the rest came back as Full. Ruled out: one node that sends too much (38 nodes sent one each); lists told late (all nodes knew the start by 13.7 s); a leap of saved-up credit when 27 others began to drain (the sends came evenly from 13.5 s on). Faulty line: src/balance.rs, split: per_backend, which the budget of rule 4 is taken from as "what a warm one is seen to bear", was lambda, the sends; in a crowd that is twice what is borne and more. Change: per_backend counts completions over the same window. Test, seen to fail without it (100 instead of 25 a second): what_is_turned_away_is_not_what_backends_bear.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -94,7 +94,7 @@
     refreshed: Nanos,
     stale: bool,
     split_at: Nanos,
-    /// As of the last split: requests a second for each ready backend, and whether ejection fails open.
+    /// As of the last split: completions a second for each warm backend, and whether ejection fails open.
     per_backend: f64,
     failed_open: bool,
     /// Attempts out, and the summed room of usable backends.
@@ -258,11 +258,11 @@
         2.0 * self.longest_aim
     }
 
-    /// Requests a second that this node takes up.
-    fn lambda(&self, now: Nanos) -> f64 {
+    /// A count that is discounted over the window of lambda, by the second; that of arrivals is lambda.
+    fn per_second(&self, now: Nanos, count: f64) -> f64 {
         let window = self.lambda_window();
         let age = now.saturating_sub(self.started) as f64 / SECOND;
-        self.arrivals / (window * (1.0 - (-age / window).exp())).max(self.shortest_aim)
+        count / (window * (1.0 - (-age / window).exp())).max(self.shortest_aim)
     }
 
     fn ready(&self) -> impl Iterator<Item = &Server> {
@@ -298,7 +298,7 @@
     /// Discounts what was counted of backends and renews the shares of all that are ready.
     fn split(&mut self, now: Nanos) {
         let step = now.saturating_sub(self.split_at) as f64 / SECOND;
-        let rate = self.lambda(now) / (self.servers.len().max(1) as f64);
+        let rate = self.per_second(now, self.arrivals) / (self.servers.len().max(1) as f64);
         let memory = (MEMORY / rate.max(1e-9)).clamp(self.shortest_aim, MEMORY_AIMS * self.longest_aim);
         let keep = (-step / memory).exp();
         for server in self.servers.values_mut() {
@@ -307,13 +307,13 @@
             server.failed *= keep;
         }
         let (slot, seconds) = (self.settings.tick as f64 / SECOND, now as f64 / SECOND);
-        let lambda = self.lambda(now) * self.siblings * slot;
+        let lambda = self.per_second(now, self.arrivals) * self.siblings * slot;
         let (priors, against) = self.priors(seconds);
         let starved = self.starved(now);
         self.failed_open = self.fails_open(now);
         let members = self.members(now);
         let warm: f64 = members.iter().map(|id| self.warmth(now, &self.servers[id])).sum();
-        self.per_backend = self.lambda(now) / warm.max(1e-9);
+        self.per_backend = self.per_second(now, self.recent.done) / warm.max(1e-9);
         self.room = 0.0;
         let mut total = (0.0, 0.0, 0.0, 0.0);
         let mut rates = Vec::with_capacity(self.servers.len());
@@ -402,7 +402,7 @@
 
     /// Fewer completions of a backend come in the longest memory than an estimate wants.
     fn starved(&self, now: Nanos) -> bool {
-        let rate = self.lambda(now) / (self.servers.len().max(1) as f64);
+        let rate = self.per_second(now, self.arrivals) / (self.servers.len().max(1) as f64);
         rate * MEMORY_AIMS * self.longest_aim < MEMORY
     }
 
--- a/src/balance_tests.rs
+++ b/src/balance_tests.rs
@@ -150,3 +150,29 @@
     // Three each are fifteen nodes for a backend; sets drawn by chance give some of them 7 and some 24.
     assert!(known.len() == 60 && known.values().all(|nodes| (14..=16).contains(nodes)), "{known:?}");
 }
+
+#[test]
+fn what_is_turned_away_is_not_what_backends_bear() {
+    let class = Class { aim: 300 * MS, deadline: 600 * MS, ..Class::default() };
+    let mut settings = Settings { classes: vec![class], ..Settings::default() };
+    settings.limits.max_attempts = 1;
+    let mut balancer = Balancer::new(settings, 7, 0).unwrap();
+    let state = BackendState::Ready;
+    let backends = (0..3).map(|id| Backend { id: BackendId(id), state, ..Backend::default() }).collect();
+    balancer.handle(1, Event::List { kind: ListKind::Full, backends }, &mut Vec::new());
+    // A hundred a second, of which they take one in four: rule 4 is judged by these.
+    let mut actions = Vec::new();
+    for turn in 0..500 {
+        let now = Nanos::from(turn) * 10 * MS + 2;
+        balancer.handle(now, request(turn), &mut actions);
+        for action in std::mem::take(&mut actions) {
+            let Action::Send { request, .. } = action else { continue };
+            let outcome = if turn % 4 == 0 { Outcome::Ok } else { Outcome::Full };
+            let (attempt, latency, finished, load) = (0, 5 * MS, outcome == Outcome::Ok, Vec::new());
+            let ended = Event::Outcome { request, attempt, latency, outcome, finished, load };
+            balancer.handle(now + 5 * MS, ended, &mut actions);
+        }
+    }
+    let borne = balancer.per_backend * 3.0;
+    assert!((20.0..30.0).contains(&borne), "{borne} a second");
+}
