A session's end goes out before what has come meanwhile is thrown away

Cause, found on reading: client.rs, part(): before its socket closes a session is read empty, so that the close is no reset over an answer in flight. A request that came between the last look and this close was read, thrown away, and only then was the end written: read and never answered, though the protocol has the client ask again only when its request crossed a close before it was read. session_due closed a resting session without a look for such a request. Ruled out: the same in flush(), whose shutdown already goes first, and in spare(), which looks for unread bytes. Change: shutdown first, then read away; a resting session whose time is over is looked at first. Test, seen to fail without it (the peer finds no end): a_session_that_parts_tells_its_end_before_it_throws_a_late_request_away. No socket test can stop a process between two calls; this one plays the crossing on the session alone.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -235,11 +235,13 @@
     }
 
     /// The last turn before its socket closes. With bytes unread that is a reset, which throws away what the
-    /// kernel has not yet sent of an answer.
+    /// kernel has not yet sent of an answer. The end goes out first: a request that comes in this very moment
+    /// has met a close, and its client asks again elsewhere; read before the end it would look taken.
     pub fn part(&mut self) {
         if self.asked == 0 && self.phase == Phase::Open {
             return;
         }
+        let _ = rustix::net::shutdown(&self.socket, rustix::net::Shutdown::Write);
         for _ in 0..MOST_PARTING {
             let count = self.inbox.len();
             self.inbox.consume(count);
@@ -489,6 +491,24 @@
         }
     }
 
+    #[test]
+    fn a_session_that_parts_tells_its_end_before_it_throws_a_late_request_away() {
+        use rustix::net::{AddressFamily, SocketFlags, SocketType, socketpair};
+        use std::io::{Read, Write};
+        let (family, kind, flags) = (AddressFamily::UNIX, SocketType::STREAM, SocketFlags::NONBLOCK);
+        let (near, far) = socketpair(family, kind, flags, None).unwrap();
+        let mut far = std::os::unix::net::UnixStream::from(far);
+        let mut session = Session::new(near, 0, EventFlags::IN, &Budget::default());
+        far.write_all(GOOD.as_bytes()).unwrap();
+        assert!(matches!(session.read(0), Intake::Message(..)));
+        session.answer(0, 200, &[], b"hi", false);
+        assert!(session.flush(0) && far.read(&mut [0; 256]).unwrap() > 0);
+        far.write_all(GOOD.as_bytes()).unwrap();
+        session.part();
+        assert_eq!(far.read(&mut [0; 256]).unwrap(), 0);
+        assert!(!session.has_unread());
+    }
+
     #[test]
     fn advice_is_whole_seconds_and_only_refusals_carry_it() {
         let refused = |retry_after| status_and_advice(Synthetic::Refused { retry_after });
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -163,7 +163,12 @@
             self.reply(number, 408, &[], b"the request did not come whole\n", true);
             return self.answered.push_back(number);
         }
-        self.close_session(number);
+        // On a resting one a request may have come since this turn's look at the sockets.
+        if session.is_idle() {
+            self.spare(number);
+        } else {
+            self.close_session(number);
+        }
     }
 
     pub(super) fn session_ready(&mut self, number: u32, flags: EventFlags) {
