Indented objects on a watch are read, and one without end holds up nobody

Call::read went on until nothing was there: a sender that is never dry held the loop for good. WHOLE was 6 s, which is when what a trickle withholds already counts as told. Change: an object ends at a line's end outside of its brackets; a turn takes a longest list of bytes at most; what is not whole after 4.2 s counts as silent. Tests: a_watch_whose_objects_are_indented_..., a_watch_without_end_... (both seen to fail without it: "discovery-failed not JSON", and no answer in 20 s). The trickle's test now wants 5 s, not 6.5. In the_watch_is_resumed_after_a_bad_line the bad line was {"rev": and a line's end, which may be the start of an indented object and so was the wrong example; it is {"rev":} now, and one that is never finished is the trickle's case.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -21,8 +21,12 @@
 /// A watch that has spoken before is cut off sooner: it says something every 2 s, and what is asked for anew
 /// may at first be turned down, which takes up to 3 s more.
 const QUIET: Nanos = 3_200 * MS;
-/// A line or a list is whole within this time, or its sender only trickles: such a one is as good as silent.
-const WHOLE: Nanos = 6 * SECOND;
+/// An object or a list is whole within this time, or its sender only trickles: such a one is as good as silent,
+/// and what it withholds counts as told 6 s after it was due.
+const WHOLE: Nanos = SILENCE;
+/// Pieces of a call's bytes that are taken in one turn: the longest list. Guards against a sender without end,
+/// which would hold the loop.
+const MOST_PIECES: usize = MOST_LIST / 2048;
 /// A connection to discovery that is not up by then is cut off too; asking anew finds the way back sooner
 /// than TCP's own repeats.
 pub const CONNECT: Nanos = 1_000 * MS;
@@ -210,6 +214,35 @@
     }) as u16
 }
 
+/// Finds the ends of a watch's objects: the ends of lines outside of any bracket, as lists may come indented.
+#[derive(Default)]
+struct Scan {
+    seen: usize,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Scan {
+    /// Goes on over what has come; where the first object ends, if it has.
+    fn end(&mut self, bytes: &[u8]) -> Option<usize> {
+        for byte in &bytes[self.seen..] {
+            self.seen += 1;
+            match byte {
+                _ if std::mem::take(&mut self.escaped) => {}
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' => self.quoted = !self.quoted,
+                _ if self.quoted => {}
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+                b'\n' if self.depth == 0 => return Some(std::mem::take(self).seen),
+                _ => {}
+            }
+        }
+        None
+    }
+}
+
 /// One call to discovery: a watch, or the whole list once.
 pub struct Call {
     pub socket: OwnedFd,
@@ -217,9 +250,10 @@
     pub outbox: Ring,
     inbox: Ring,
     parser: Parser,
+    scan: Scan,
     pub heard: Nanos,
     pub made: Nanos,
-    /// When it was made, or had its last whole line.
+    /// When it was made, or had its last whole object or empty line.
     whole: Nanos,
     spoke: bool,
     pub deadline: Deadline,
@@ -229,7 +263,7 @@
 #[derive(Debug, Default)]
 pub struct News {
     pub updates: Vec<Update>,
-    /// A whole line has come, be it empty.
+    /// A whole object has come, or an empty line.
     pub spoke: bool,
     /// The call is over, and why.
     pub over: Option<String>,
@@ -251,6 +285,7 @@
             outbox,
             inbox: Ring::new(64 * 1024),
             parser,
+            scan: Scan::default(),
             heard: now,
             made: now,
             whole: now,
@@ -268,7 +303,10 @@
     /// Reads what has come.
     pub fn read(&mut self, now: Nanos) -> News {
         let mut news = News::default();
-        while news.over.is_none() {
+        for _ in 0..MOST_PIECES {
+            if news.over.is_some() {
+                break;
+            }
             match self.inbox.read_from(&self.socket) {
                 Read::Some => {
                     self.heard = now;
@@ -299,8 +337,8 @@
             Some(start) => return Err(format!("answered {start:?}")),
         }
         if self.watch {
-            while let Some(end) = self.parser.body.iter().position(|b| *b == b'\n') {
-                let line = self.parser.body.split_front(end + 1);
+            while let Some(end) = self.scan.end(&self.parser.body) {
+                let line = self.parser.body.split_front(end);
                 (self.whole, self.spoke, news.spoke) = (self.heard, true, true);
                 // An empty line only says that discovery is there.
                 if !line.trim_ascii().is_empty() {
--- a/node/tests/crossings/mod.rs
+++ b/node/tests/crossings/mod.rs
@@ -389,7 +389,7 @@
         }
     });
     world.expect_log("discovery-failed silent");
-    assert!(since.elapsed() < Duration::from_millis(6_500), "{:?}", since.elapsed());
+    assert!(since.elapsed() < Duration::from_millis(5_000), "{:?}", since.elapsed());
     world.discovery.wait().expect("after=7 ");
     trickle.join().unwrap();
 }
@@ -406,3 +406,61 @@
     world.discovery.wait().expect("after=7 ");
     assert!(since.elapsed() < Duration::from_millis(5_600), "{:?}", since.elapsed());
 }
+
+/// One object of a watch as a printer would lay it out, with braces and line ends in its strings.
+fn indented(rev: u32, entries: &[String]) -> String {
+    let odd = r#""note":"}]\"\\n{","#;
+    let text = format!("{{\n  \"rev\": {rev},\n  {odd}\n\n  \"all\": false,\n  \"targets\": [\n");
+    text + &entries.join(",\n") + "\n  ]\n}\n"
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+#[test]
+fn a_watch_whose_objects_are_indented_is_read_in_whatever_pieces_they_come() {
+    let mut world = World::start();
+    let (second, third) = (Party::new(), Party::new());
+    let mut watch = world.discovery.wait();
+    let one = indented(8, &[entry("s-1", world.backend.address(), "Terminating")]);
+    let two = indented(9, &[entry("s-2", second.address(), "Ready")]);
+    watch.send(WATCH).send(&chunk("\n"));
+    // A byte a chunk, and the end of one object together with the start of the next.
+    for byte in one.chars() {
+        watch.send(&chunk(&byte.to_string()));
+    }
+    watch.send(&chunk(&(two.clone() + &two[..40])));
+    let mut client = world.client();
+    client.send(&report("moved", 5000));
+    second.wait().expect("x-txn: moved\r\n");
+    // Half an object and then a reset: what was whole stays, and the rest is asked for again.
+    watch.reset();
+    world.expect_log("discovery-failed the connection ended");
+    let mut again = world.discovery.wait();
+    again.expect("after=9 ");
+    let leaving = entry("s-2", second.address(), "Terminating");
+    again.send(WATCH).send(&chunk(&indented(10, &[leaving, entry("s-3", third.address(), "Ready")])));
+    let mut other = world.client();
+    other.send(&report("again", 5000));
+    third.wait().expect("x-txn: again\r\n");
+}
+
+#[test]
+fn a_watch_without_end_holds_up_nobody() {
+    let world = World::start();
+    let mut watch = world.discovery.wait();
+    watch.send(WATCH);
+    let blank = chunk("\n").repeat(20_000);
+    let flood = std::thread::spawn(move || while watch.try_send(&blank) {});
+    let mut client = world.client();
+    for id in ["f1", "f2", "f3"] {
+        client.send(&report(id, 15_000));
+        let mut backend = world.backend.wait();
+        backend.expect("body");
+        backend.serve("200 OK\r\nConnection: close", id);
+        client.expect(&format!("\r\n\r\n{id}"));
+    }
+    drop(world);
+    flood.join().unwrap();
+}
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -450,7 +450,7 @@
     let line = format!("{{\"rev\":9,\"all\":false,\"targets\":[{}]}}\n", change.replace('\n', ""));
     // Cut in the middle: a line is read when its end has come.
     let (one, two) = line.split_at(60);
-    watch.send(WATCH).send(&chunk("\n")).send(&chunk(one)).send(&chunk(two)).send(&chunk("{\"rev\":\n"));
+    watch.send(WATCH).send(&chunk("\n")).send(&chunk(one)).send(&chunk(two)).send(&chunk("{\"rev\":}\n"));
     world.expect_log("discovery-failed not JSON");
     watch.expect_end();
     let mut again = world.discovery.wait();
