A list that is behind brings no drained backend back

Cause, found on reading: lists.rs, take_update took whatever came as the latest word. A whole list of a replica that is behind, or of another service after SIGHUP that counts otherwise, revived a backend that had been told to leave, and reqs went there long after the grace. Ruled out: two calls that overlap on this node (one watch at most; the decisions never ask for a list beside it, and SIGHUP closes what is open before it calls anew). Change: what counts lower than what is known is older. It is still taken, as its sender may have lost its count and would else never be heard again, but a backend that was told to leave is back only with a newer list or a newer start. The log says so: older-list rev= known=. Test: a_list_that_is_behind_..., seen to fail without it.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -101,6 +101,16 @@
     }
 }
 
+/// How an update stands to what is known.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Age {
+    /// From before the start.
+    Cached,
+    Current,
+    /// Its count is behind: of another replica, or, after a reload, of another service.
+    Older,
+}
+
 /// The backends as last told.
 pub struct Fleet {
     /// Numbers that the decisions know backends by. A uid keeps its number until it is forgotten; no number
@@ -115,6 +125,8 @@
 struct Member {
     endpoint: Option<SocketAddr>,
     state: BackendState,
+    /// Its last start that was told.
+    boot_ms: u64,
     /// When a list last said something new of it.
     told: Nanos,
 }
@@ -134,16 +146,18 @@
     }
 
     /// Takes an update; gives the event for the decisions and the backends to which connections must end:
-    /// those that are leaving and those that have moved.
-    pub fn apply(
-        &mut self,
-        now: Nanos,
-        clock: &Clock,
-        update: &Update,
-        cached: bool,
-    ) -> (Event, Vec<BackendId>) {
+    /// those that are leaving and those that have moved. An older one is taken too, as its sender may have begun
+    /// to count anew; but a backend that was told to leave is back only with a newer one, or a newer start.
+    pub fn apply(&mut self, now: Nanos, clock: &Clock, update: &Update, age: Age) -> (Event, Vec<BackendId>) {
         let mut ends = Vec::new();
-        let backends: Vec<Backend> = update.entries.iter().map(|entry| self.backend(clock, entry)).collect();
+        let mut backends: Vec<Backend> =
+            update.entries.iter().map(|entry| self.backend(clock, entry)).collect();
+        for (entry, backend) in update.entries.iter().zip(&mut backends).filter(|_| age == Age::Older) {
+            let left = self.members.get(&backend.id).filter(|member| entry.boot_ms <= member.boot_ms);
+            if let Some(left) = left.filter(|member| member.state != BackendState::Ready) {
+                backend.state = left.state;
+            }
+        }
         if update.all {
             let listed: Vec<BackendId> = backends.iter().map(|b| b.id).collect();
             for (id, member) in self.members.iter_mut().filter(|m| !listed.contains(m.0)) {
@@ -155,7 +169,9 @@
         }
         for (entry, backend) in update.entries.iter().zip(&backends) {
             let (endpoint, state) = (entry.endpoint, backend.state);
-            let before = self.members.insert(backend.id, Member { endpoint, state, told: now });
+            let known = self.members.get(&backend.id).map_or(0, |member| member.boot_ms);
+            let member = Member { endpoint, state, boot_ms: known.max(entry.boot_ms), told: now };
+            let before = self.members.insert(backend.id, member);
             let moved = before.is_some_and(|before| before.endpoint != endpoint);
             if moved || backend.state != BackendState::Ready {
                 ends.push(backend.id);
@@ -164,8 +180,8 @@
         // Uids are new for ever on a day of releases.
         self.members.retain(|_, m| m.state != BackendState::Gone || now < m.told.saturating_add(REMEMBERED));
         self.ids.retain(|_, id| self.members.contains_key(id));
-        let kind = match (cached, update.all) {
-            (true, _) => ListKind::Cached,
+        let kind = match (age, update.all) {
+            (Age::Cached, _) => ListKind::Cached,
             (_, true) => ListKind::Full,
             (_, false) => ListKind::Delta,
         };
@@ -387,15 +403,19 @@
             0,
             &clock,
             &update(true, &[("a", 1, "Ready"), ("b", 2, "Ready"), ("c", 3, "Ready")]),
-            true,
+            Age::Cached,
         );
         assert_eq!((ids(event), ends), (vec![0, 1, 2], vec![]));
-        let (event, ends) =
-            fleet.apply(0, &clock, &update(false, &[("b", 9, "Ready"), ("c", 3, "Terminating")]), false);
+        let (event, ends) = fleet.apply(
+            0,
+            &clock,
+            &update(false, &[("b", 9, "Ready"), ("c", 3, "Terminating")]),
+            Age::Current,
+        );
         assert_eq!((ids(event), ends), (vec![1, 2], vec![BackendId(1), BackendId(2)]));
         assert_eq!(fleet.endpoint(BackendId(1)).unwrap().port(), 9);
         assert_eq!(fleet.endpoint(BackendId(2)), None);
-        let (_, ends) = fleet.apply(0, &clock, &update(true, &[("b", 9, "Ready")]), false);
+        let (_, ends) = fleet.apply(0, &clock, &update(true, &[("b", 9, "Ready")]), Age::Current);
         assert!(ends.contains(&BackendId(0)) && fleet.has_ready());
     }
 
@@ -403,7 +423,7 @@
     fn a_uid_has_the_same_mark_at_every_node_whatever_its_number() {
         let marks = |entries: &[(&str, u16, &str)]| {
             let (clock, mut fleet) = (Clock::start(), Fleet::new(vec![], vec![]));
-            let (event, _) = fleet.apply(0, &clock, &update(true, entries), true);
+            let (event, _) = fleet.apply(0, &clock, &update(true, entries), Age::Cached);
             let Event::List { backends, .. } = event else { panic!("{event:?}") };
             backends.iter().map(|b| b.mark).collect::<Vec<_>>()
         };
@@ -419,15 +439,17 @@
         let mut numbers = Vec::new();
         for turn in 0..1000 {
             let uid = format!("s-{turn}");
-            let (event, _) = fleet.apply(turn * SECOND, &clock, &update(true, &[(&uid, 1, "Ready")]), false);
+            let (event, _) =
+                fleet.apply(turn * SECOND, &clock, &update(true, &[(&uid, 1, "Ready")]), Age::Current);
             numbers.extend(ids(event));
             assert!(fleet.members.len() <= 62 && fleet.ids.len() == fleet.members.len());
         }
         numbers.dedup();
         assert!(numbers.is_sorted() && numbers.len() == 1000);
         // One that comes back soon is the same, one that comes back late is new.
-        let mut again =
-            |uid| ids(fleet.apply(1000 * SECOND, &clock, &update(true, &[(uid, 1, "Ready")]), false).0);
+        let mut again = |uid| {
+            ids(fleet.apply(1000 * SECOND, &clock, &update(true, &[(uid, 1, "Ready")]), Age::Current).0)
+        };
         assert_eq!((again("s-990"), again("s-3")), (vec![990], vec![1000]));
     }
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -19,7 +19,7 @@
 use crate::client::{self, Session};
 use crate::clock::{Clock, MS, SECOND};
 use crate::config::Config;
-use crate::discovery::{Call, Fleet};
+use crate::discovery::{Age, Call, Fleet};
 use crate::fetch::{Fetch, Job, Pool};
 use crate::ledger::{Ledger, Purpose};
 use crate::log::{Log, Trace};
@@ -177,7 +177,7 @@
             "start",
             format_args!("name={} listen={} sockets={sockets}", config.name, listens),
         );
-        node.take_update(&config.known, true);
+        node.take_list(&config.known, Age::Cached);
         node.follow_pushes();
         node.settle();
         Ok(node)
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -7,7 +7,7 @@
 use super::{BOTH, CALL, Due, Node, READ, token};
 use crate::clock::{MS, SECOND};
 use crate::config;
-use crate::discovery::{self, Call, News, Update};
+use crate::discovery::{self, Age, Call, News, Update};
 use crate::fetch::{self, Fetch};
 use crate::net;
 
@@ -58,7 +58,7 @@
             self.calls.remove(number);
         }
         // Each call of the decisions gets one event: nothing has changed.
-        self.take_update(&Update { rev: self.rev, ..Update::default() }, false);
+        self.take_update(&Update { rev: self.rev, ..Update::default() });
     }
 
     /// Where lists are pushed the decisions never ask, yet over sockets what is pushed comes on a watch: the
@@ -147,7 +147,7 @@
             self.failed_calls = 0;
         }
         for update in &news.updates {
-            self.take_update(update, false);
+            self.take_update(update);
         }
         if let Some(why) = news.over.filter(|_| !news.well) {
             self.call_failed(why);
@@ -162,9 +162,17 @@
         }
     }
 
-    pub(super) fn take_update(&mut self, update: &Update, cached: bool) {
+    pub(super) fn take_update(&mut self, update: &Update) {
+        let age = if update.rev < self.rev { Age::Older } else { Age::Current };
+        if age == Age::Older {
+            self.log.line(self.now, "older-list", format_args!("rev={} known={}", update.rev, self.rev));
+        }
+        self.take_list(update, age);
+    }
+
+    pub(super) fn take_list(&mut self, update: &Update, age: Age) {
         self.rev = update.rev;
-        let (event, ends) = self.fleet.apply(self.now, &self.clock, update, cached);
+        let (event, ends) = self.fleet.apply(self.now, &self.clock, update, age);
         if self.trace.is_on() {
             self.trace.line(self.now, format_args!("told rev={} all={}", update.rev, u8::from(update.all)));
             for line in self.fleet.lines(update) {
--- a/node/tests/crossings/mod.rs
+++ b/node/tests/crossings/mod.rs
@@ -464,3 +464,45 @@
     drop(world);
     flood.join().unwrap();
 }
+
+#[test]
+fn a_list_that_is_behind_brings_no_drained_backend_back_and_a_newer_one_or_a_newer_start_does() {
+    let mut world = World::start();
+    let other = Party::new();
+    let (here, there) = (world.backend.address(), other.address());
+    let mut watch = world.discovery.wait();
+    watch.send(&changes(9, &[entry("s-1", here, "Terminating"), entry("s-2", there, "Ready")]));
+    watch.close();
+    let whole = |rev: u32, entries: &[String]| changes(rev, entries).replace("false", "true ");
+    let both = [entry("s-1", here, "Ready"), entry("s-2", there, "Ready")];
+    // Another replica, which is behind.
+    let mut behind = world.discovery.wait();
+    behind.expect("after=9 ");
+    behind.send(&whole(8, &both));
+    world.expect_log("older-list rev=8 known=9");
+    let mut client = world.client();
+    let mut backend = None;
+    for id in ["o1", "o2", "o3", "o4", "o5", "o6", "o7", "o8"] {
+        client.send(&report(id, 5000));
+        let backend = backend.get_or_insert_with(|| other.wait());
+        backend.expect("body");
+        backend.serve("200 OK", id);
+        client.expect(&format!("\r\n\r\n{id}"));
+    }
+    assert!(world.backend.is_quiet());
+    // It goes on from its own count. Idle connections end once a drain is taken.
+    let leaving = entry("s-2", there, "Terminating");
+    behind.send(&more_changes(9, &[entry("s-1", here, "Ready"), leaving]));
+    backend.unwrap().expect_end();
+    client.send(&report("newer", 5000));
+    let mut backend = until(|| world.backend.poll());
+    backend.expect("body");
+    backend.serve("200 OK", "served");
+    client.expect("served");
+    // One that has started anew is back whatever the count says.
+    let started = entry("s-2", there, "Ready").replace("\"boot_ms\":0", "\"boot_ms\":9");
+    behind.send(&more_changes(7, &[entry("s-1", here, "Terminating"), started]));
+    backend.expect_end();
+    client.send(&report("started", 5000));
+    until(|| other.poll()).expect("x-txn: started\r\n");
+}
