A log whose reader has gone ends no node

Cause, found on reading: log.rs wrote with eprintln!, which panics when standard error is closed or its reader has gone: the next line, be it for a bad request, ended the node. The trace had its own guard. Change: both go through one write that passes over the error. Test, seen to fail without it (the node ended with a panic): a_log_whose_reader_has_gone_ends_no_node. Open: a reader that is there and does not read fills the pipe, and the write then waits; ten lines of a kind in ten seconds bound how soon.

--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -19,7 +19,7 @@
     pub fn line(&mut self, now: Nanos, kind: &'static str, details: impl std::fmt::Display) {
         if let Some(held_back) = self.admit(now, kind) {
             let more = if held_back > 0 { format!(" held_back={held_back}") } else { String::new() };
-            eprintln!("kitefork: {kind} {details}{more}");
+            write(&format!("kitefork: {kind} {details}{more}\n"));
         }
     }
 
@@ -38,6 +38,11 @@
     }
 }
 
+/// Guards against a log whose reader has gone: it must not end the node.
+fn write(line: &str) {
+    let _ = std::io::Write::write_all(&mut std::io::stderr(), line.as_bytes());
+}
+
 /// The trace: every event and decision as a line `kitefork: trace t=UNIX_SECONDS WORD key=value ...`, without
 /// a limit. For replays; off unless `BALANCER_TRACE` is 1, and then nothing is formatted.
 #[derive(Debug, Clone, Copy, Default)]
@@ -57,8 +62,7 @@
 
     pub fn line(self, now: Nanos, details: std::fmt::Arguments) {
         if let Some(line) = self.format(now, details) {
-            // A closed standard error must not end the node.
-            let _ = std::io::Write::write_all(&mut std::io::stderr(), line.as_bytes());
+            write(&line);
         }
     }
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -182,7 +182,7 @@
     pub backend: Party,
     node: Child,
     config: String,
-    log: BufReader<ChildStderr>,
+    log: Option<BufReader<ChildStderr>>,
     address: SocketAddr,
 }
 
@@ -220,7 +220,7 @@
         let line = next_line(&mut log);
         let address = line.strip_prefix("kitefork: start name=t1 listen=").and_then(|l| l.split(' ').next());
         let address = address.and_then(|a| a.parse().ok()).unwrap_or_else(|| panic!("no start in {line:?}"));
-        World { discovery, backend, node, config, log, address }
+        World { discovery, backend, node, config, log: Some(log), address }
     }
 
     pub fn client(&self) -> Line {
@@ -231,11 +231,16 @@
     pub fn expect_log(&mut self, part: &str) -> String {
         let mut lines = String::new();
         while !lines.contains(part) {
-            lines += &next_line(&mut self.log);
+            lines += &next_line(self.log.as_mut().expect("a log"));
         }
         lines
     }
 
+    /// Nobody reads the log from here on.
+    pub fn drop_log(&mut self) {
+        self.log = None;
+    }
+
     /// How many descriptors the program holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.node.id())).unwrap().count()
@@ -245,7 +250,7 @@
     pub fn last_log(mut self) -> String {
         self.terminate();
         let mut lines = String::new();
-        self.log.read_to_string(&mut lines).unwrap();
+        self.log.take().expect("a log").read_to_string(&mut lines).unwrap();
         lines
     }
 
--- a/node/tests/crossings/mod.rs
+++ b/node/tests/crossings/mod.rs
@@ -506,3 +506,22 @@
     client.send(&report("started", 5000));
     until(|| other.poll()).expect("x-txn: started\r\n");
 }
+
+#[test]
+fn a_log_whose_reader_has_gone_ends_no_node() {
+    let mut world = World::start();
+    world.drop_log();
+    let mut client = world.client();
+    // Each of these is a line of the log.
+    for _ in 0..3 {
+        client.send(&report("x", 99).replace("X-Org: acme", "X-Org: nobody")).expect("400 Bad Request");
+    }
+    client.send(&report("served", 5000));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    backend.serve("200 OK", "served");
+    client.expect("\r\n\r\nserved");
+    world.terminate();
+    drop((client, backend));
+    assert_eq!(world.wait_exit().code(), Some(0));
+}
