Settings without sense end with exit code 2 and the key's own name

Cause: settings that the decisions refuse (an aim, tick or fall of 0) came up in Node::start, so the exit code was 1, and the line named the decisions' word ("classes"), not the file's key ("settings.grades"). limits.sockets under 64 was raised to 64, over the limit that was given. A memory_mb or askWithinNs near the largest number overflowed. Change: the reader of settings checks them and names the key; limits.sockets under 32 is refused; figures saturate. Test, seen to fail without it: a_fault_names_its_key, with six more cases.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -8,6 +8,9 @@
 
 use crate::discovery::Update;
 
+/// With fewer descriptors a node can't hold a client and a backend beside what it needs for itself.
+const LEAST_SOCKETS: usize = 32;
+
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -57,12 +60,16 @@
     if deployment.settings.classes.iter().any(|class| class.streamed) {
         return Err("field `settings.grades`: streamed classes are not carried by this node".into());
     }
+    let sockets: usize = limit("sockets", 1024)?;
+    if sockets < LEAST_SOCKETS {
+        return Err(format!("field `limits.sockets`: must be {LEAST_SOCKETS} or more"));
+    }
     Ok(Config {
         name: told("BALANCER_NAME", "name")?,
         listen: address("BALANCER_LISTEN", "listen")?,
         discovery: address("BALANCER_DISCOVERY", "discovery")?,
         seed: u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.bad("must be hexadecimal"))?,
-        sockets: limit("sockets", 1024)?,
+        sockets,
         memory_mb: limit("memory_mb", 192)?,
         known: root.find("known").map_or(Ok(Update::default()), |known| Update::read(&known))?,
         deployment,
@@ -109,6 +116,12 @@
                 "`settings.grades`",
             ),
             ("\"boot_ms\":0", "\"boot_ms\":-1", "`known.targets[0].boot_ms`"),
+            ("\"sockets\":256", "\"sockets\":31", "`limits.sockets`"),
+            ("\"goalTimeNs\":1200000000", "\"goalTimeNs\":0", "`settings.grades`"),
+            ("\"fallNs\":1", "\"fallNs\":0", "`settings.rules.fallNs`"),
+            ("\"coldFrom\":0.3", "\"coldFrom\":0", "`settings.rules.coldFrom`"),
+            ("\"tickNs\":5000000", "\"tickNs\":0", "`settings.tickNs`"),
+            ("\"fallNs\":1", "\"fallNs\":1,\"drainCloseNs\":0", "`settings.rules.drainCloseNs`"),
         ] {
             let fault = read(CONFIG.replace(old, new).as_bytes(), |_| None).err().unwrap();
             assert!(fault.contains(wanted), "{fault}");
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -101,7 +101,7 @@
     pool: Pool,
     calls: Slots<Call>,
     rev: u64,
-    /// The decisions wait before they ask for the list again.
+    /// The next call to discovery waits, for the decisions or, where lists are pushed, on the wheel.
     backing_off: bool,
     /// Only where lists are pushed: discovery has spoken since the start, and how many calls in a row failed.
     informed: bool,
@@ -125,7 +125,7 @@
         let sockets = own.map_or(config.sockets, |own| config.sockets.min(own as usize));
         // Bodies are on the budget; what a connection holds beside them is a head at most, of which these fit
         // a third of the memory.
-        let sockets = sockets.min(config.memory_mb.saturating_mul(16)).max(64);
+        let sockets = sockets.min(config.memory_mb.saturating_mul(16).max(64));
         let ledger = Ledger::new(sockets);
         let (most_sessions, most_fetches) = (ledger.most(Purpose::Session), ledger.most(Purpose::Fetch));
         let most_reqs = most_sessions.min(deployment.most_held).max(1);
@@ -156,7 +156,7 @@
             draining: false,
             ends: None,
             quit: false,
-            budget: Budget::new(config.memory_mb.max(4) * (1 << 20) / 4),
+            budget: Budget::new(config.memory_mb.max(4).saturating_mul(1 << 18)),
             ledger,
             trimming: false,
             sessions: Slots::new(most_sessions),
--- a/node/src/ring.rs
+++ b/node/src/ring.rs
@@ -19,13 +19,13 @@
 impl Default for Budget {
     /// As good as none.
     fn default() -> Budget {
-        Budget::new(isize::MAX as usize / 2)
+        Budget::new(usize::MAX)
     }
 }
 
 impl Budget {
     pub fn new(bytes: usize) -> Budget {
-        Budget(Rc::new(Cell::new(bytes as isize)))
+        Budget(Rc::new(Cell::new(bytes.min(isize::MAX as usize / 2) as isize)))
     }
 
     pub fn is_spent(&self) -> bool {
--- a/settings/src/json.rs
+++ b/settings/src/json.rs
@@ -54,6 +54,12 @@
         format!("field `{}`: {wanted}", self.path)
     }
 
+    /// An error about what stands under a key of this place.
+    pub fn bad_at(&self, key: &str, wanted: &str) -> Fault {
+        let dot = if self.path.is_empty() { "" } else { "." };
+        format!("field `{}{dot}{key}`: {wanted}", self.path)
+    }
+
     /// A whole number, 0 or more.
     pub fn whole(&self) -> Result<u64, Fault> {
         match self.value {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -28,6 +28,16 @@
     pub most_held: usize,
 }
 
+/// What the decisions call a setting, and the key that it is read from.
+const NAMES: [(&str, &str); 6] = [
+    ("tick", "tickNs"),
+    ("classes", "grades"),
+    ("tail", "goal.tail"),
+    ("rules.cold_from", "rules.coldFrom"),
+    ("rules.drain_close", "rules.drainCloseNs"),
+    ("rules.fall", "rules.fallNs"),
+];
+
 /// Reads the settings object.
 pub fn read(root: &Place) -> Result<Deployment, Fault> {
     let grades = root.get("grades")?.list()?;
@@ -71,6 +81,10 @@
             ask_within: rules.or("askWithinNs", 10_000_000_000, Place::whole)?,
         },
     };
+    settings.check().map_err(|wrong| {
+        let name = NAMES.iter().find(|(own, _)| *own == wrong.key).map_or(wrong.key, |(_, name)| name);
+        root.bad_at(name, wrong.reason)
+    })?;
     Ok(Deployment {
         settings,
         classes: names(&grades)?,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -992,9 +992,9 @@
         }
         let first = self.settings.rules.ask_within / 20;
         let wait = first.saturating_mul(1 << self.ask_failures.min(3));
-        let wait = (wait as f64 * (0.5 + unit(&mut self.rng))) as Nanos + self.settings.tick;
+        let wait = ((wait as f64 * (0.5 + unit(&mut self.rng))) as Nanos).saturating_add(self.settings.tick);
         self.ask_failures = self.ask_failures.saturating_add(1);
-        self.agenda.add(now + wait, Task::Ask);
+        self.agenda.add(now.saturating_add(wait), Task::Ask);
         if self.ask_failures == 1 {
             actions.push(Action::Log("list out of reach, the old one stays".into()));
         }
