One row of calls where lists are pushed, and no flood of clients holds the loop

Change: one mark for a call that waits, in both modes; a turn accepts what the kernel's queue holds at most; TCP_NODELAY may fail. A node without word of discovery serves after 9 s, not 10, as ready within 10 s is asked.

--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -11,6 +11,9 @@
 
 const FLAGS: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
 
+/// Clients that the kernel lets wait to be accepted.
+pub const QUEUE: i32 = 1024;
+
 fn stream(address: SocketAddr) -> Result<OwnedFd, Errno> {
     let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
     socket_with(family, SocketType::STREAM, FLAGS, None)
@@ -21,7 +24,7 @@
     // A node that starts again must not wait for the old one's connections to fade.
     sockopt::set_socket_reuseaddr(&socket, true)?;
     bind(&socket, &address)?;
-    listen(&socket, 1024)?;
+    listen(&socket, QUEUE)?;
     Ok(socket)
 }
 
@@ -30,7 +33,8 @@
     loop {
         match accept_with(listener, FLAGS) {
             Ok(socket) => {
-                sockopt::set_tcp_nodelay(&socket, true)?;
+                // One that its client has reset meanwhile is no failure of ours; reading it will tell.
+                let _ = sockopt::set_tcp_nodelay(&socket, true);
                 return Ok(Some(socket));
             }
             Err(Errno::AGAIN) => return Ok(None),
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -19,8 +19,8 @@
 /// without a pause.
 const STEADY: Nanos = SECOND;
 /// A node that has heard nothing of its list for this long after its start serves from the one it was given:
-/// old news are better than no service where discovery stays away.
-const BLIND: Nanos = 10 * SECOND;
+/// old news are better than no service where discovery stays away. Ready within 10 s is what operators ask.
+const BLIND: Nanos = 9 * SECOND;
 
 impl Node {
     /// Follows discovery to where the configuration now has it, and at once, whatever the decisions' backoff:
@@ -72,6 +72,7 @@
     }
 
     pub(super) fn watch_pushes(&mut self) {
+        self.backing_off = false;
         if self.open_watch().is_none() {
             self.call(true);
         }
@@ -105,7 +106,14 @@
     fn call_failed(&mut self, why: impl std::fmt::Display) {
         self.trace.line(self.now, format_args!("call-failed why={why}"));
         self.log.line(self.now, "discovery-failed", why);
-        if !self.deployment.settings.ask_list {
+        // A call that a new configuration has brought forward may fail before the backoff is over: the next one
+        // comes anyway, and there would from then on be two rows of calls.
+        if std::mem::replace(&mut self.backing_off, true) {
+            return;
+        }
+        if self.deployment.settings.ask_list {
+            self.reqs.feed(self.now, Event::ListFailed);
+        } else {
             // The agent is this node's own: no crowd of others calls it. At once first, then ever more seldom.
             let wait = match self.failed_calls {
                 0 => 0,
@@ -113,11 +121,6 @@
             };
             self.failed_calls += 1;
             self.wheel.hang(self.now + wait, Due::Watch);
-        } else if !self.backing_off {
-            // A call that a new configuration has brought forward may fail before the backoff is over: the
-            // decisions will ask anyway, and would from then on ask twice.
-            self.backing_off = true;
-            self.reqs.feed(self.now, Event::ListFailed);
         }
     }
 
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -16,11 +16,11 @@
 pub(super) const ACCEPT_PAUSE: Nanos = 50 * MS;
 
 impl Node {
-    /// Takes every client that waits: what the kernel has accepted counts as ours.
+    /// Takes every client that waits: what the kernel has accepted counts as ours. In one turn no more than its
+    /// queue holds: a flood that never ends must not hold the loop.
     pub(super) fn accept(&mut self) {
-        while self.accepting
-            && let Some(listener) = &self.listener
-        {
+        for _ in 0..=net::QUEUE {
+            let Some(listener) = self.listener.as_ref().filter(|_| self.accepting) else { return };
             // No session is given up for nobody.
             if !self.session_fits() && !net::has_client(listener) {
                 return;
