A late second answer is not taken for the next request's once one has been seen

Cause, found on reading: fetches.rs, connection(): an idle connection was used again at once after an answer, if nothing had come on it yet. Checked first: resting each connection after each answer. Change: a node that has seen more than an answer on any connection rests its connections for 20 ms after an answer, for a minute.

--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -7,10 +7,17 @@
 use rustix::event::epoll::EventFlags;
 use rustix::net::{RecvFlags, sockopt};
 
+use crate::clock::{MS, SECOND};
 use crate::http1::{Head, MOST_BODY, MOST_HEAD, Parser, Start};
 use crate::ring::{Body, Budget, Read, Ring};
 use crate::wheel::Deadline;
 
+/// Once some backend has said more than it was asked, for so long ...
+const WARY: Nanos = 60 * SECOND;
+/// ... a connection carries no other request for this long after an answer. Guards against a second answer that
+/// comes some milliseconds late: it would be taken for the next request's. Not always, as it costs connections.
+const REST: Nanos = 20 * MS;
+
 /// What a fetch is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Job {
@@ -45,14 +52,23 @@
     pub interest: EventFlags,
 }
 
+/// Whether a connection can carry another request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    Yes,
+    No,
+    /// More has come on it than was asked for.
+    Doubled,
+}
+
 /// What has become of a fetch.
 pub enum Progress {
     Going,
-    /// A whole answer, and whether the connection can carry another request.
-    Answered(Head, Body, bool),
+    /// A whole answer.
+    Answered(Head, Body, Reuse),
     Failed(Outcome),
     /// An idle connection that can't be used again.
-    Stale,
+    Stale(Reuse),
 }
 
 impl Fetch {
@@ -103,15 +119,14 @@
     fn read(&mut self) -> Progress {
         loop {
             let ended = match self.inbox.read_from(&self.socket) {
+                // Bytes that nobody asked for.
+                Read::Some if self.phase == Phase::Idle => return Progress::Stale(Reuse::Doubled),
                 Read::Some => false,
                 Read::Dry | Read::Full => return Progress::Going,
+                Read::End if self.phase == Phase::Idle => return self.gone(),
                 Read::End => true,
                 Read::Broken => return self.gone(),
             };
-            // Bytes that nobody asked for, or the end: not to be used again.
-            if self.phase == Phase::Idle {
-                return Progress::Stale;
-            }
             let used = match self.parser.feed(self.inbox.bytes()) {
                 Ok(used) => used,
                 Err(_) => return Progress::Failed(self.broken(Outcome::Reset)),
@@ -127,26 +142,32 @@
                     return Progress::Failed(Outcome::ConnectFailed);
                 }
                 // What comes behind an answer would be taken for the next one.
-                let clean =
-                    !ended && self.inbox.is_empty() && self.inbox.read_from(&self.socket) == Read::Dry;
-                let reusable = head.keep_alive && whole && clean;
-                return Progress::Answered(head, body, reusable);
+                let behind = if ended { Read::End } else { self.inbox.read_from(&self.socket) };
+                let reuse = match behind {
+                    _ if !self.inbox.is_empty() => Reuse::Doubled,
+                    Read::Dry if head.keep_alive && whole => Reuse::Yes,
+                    _ => Reuse::No,
+                };
+                return Progress::Answered(head, body, reuse);
             }
         }
     }
 
     fn gone(&self) -> Progress {
         if self.phase == Phase::Idle {
-            Progress::Stale
+            Progress::Stale(Reuse::No)
         } else {
             Progress::Failed(self.broken(Outcome::Reset))
         }
     }
 
-    /// An idle connection is still good: neither an end nor stray bytes have come.
-    pub fn is_sound(&self) -> bool {
-        let mut byte = [0];
-        rustix::net::recv(&self.socket, &mut byte, RecvFlags::PEEK) == Err(rustix::io::Errno::AGAIN)
+    /// Whether an idle connection is still good: neither an end nor stray bytes have come.
+    pub fn soundness(&self) -> Reuse {
+        match rustix::net::recv(&self.socket, &mut [0], RecvFlags::PEEK) {
+            Err(rustix::io::Errno::AGAIN) => Reuse::Yes,
+            Ok((1.., _)) => Reuse::Doubled,
+            _ => Reuse::No,
+        }
     }
 }
 
@@ -162,26 +183,37 @@
     }
 }
 
-/// The idle connections of each backend, the newest last.
+/// The idle connections of each backend, the newest last, and since when they are idle.
 #[derive(Default)]
 pub struct Pool {
-    idle: BTreeMap<BackendId, Vec<u32>>,
+    idle: BTreeMap<BackendId, Vec<(u32, Nanos)>>,
+    wary_until: Nanos,
 }
 
 impl Pool {
-    pub fn put(&mut self, backend: BackendId, number: u32) {
-        self.idle.entry(backend).or_default().push(number);
+    pub fn put(&mut self, backend: BackendId, number: u32, now: Nanos) {
+        self.idle.entry(backend).or_default().push((number, now));
     }
 
-    /// The newest: the older ones get to age out.
-    pub fn take(&mut self, backend: BackendId) -> Option<u32> {
-        self.idle.get_mut(&backend)?.pop()
+    /// What a connection has shown of its backend.
+    pub fn note(&mut self, reuse: Reuse, now: Nanos) {
+        if reuse == Reuse::Doubled {
+            self.wary_until = now.saturating_add(WARY);
+        }
+    }
+
+    /// The newest that may be used: the older ones get to age out.
+    pub fn take(&mut self, backend: BackendId, now: Nanos) -> Option<u32> {
+        let rest = if now < self.wary_until { REST } else { 0 };
+        let idle = self.idle.get_mut(&backend)?;
+        let place = idle.iter().rposition(|(_, since)| now >= since.saturating_add(rest))?;
+        Some(idle.remove(place).0)
     }
 
     pub fn remove(&mut self, backend: BackendId, number: u32) {
-        if let Some(numbers) = self.idle.get_mut(&backend) {
-            numbers.retain(|n| *n != number);
-            if numbers.is_empty() {
+        if let Some(idle) = self.idle.get_mut(&backend) {
+            idle.retain(|(n, _)| *n != number);
+            if idle.is_empty() {
                 self.idle.remove(&backend);
             }
         }
@@ -189,13 +221,13 @@
 
     /// All idle connections of a backend, out of the pool.
     pub fn drain(&mut self, backend: BackendId) -> Vec<u32> {
-        self.idle.remove(&backend).unwrap_or_default()
+        self.idle.remove(&backend).unwrap_or_default().into_iter().map(|(number, _)| number).collect()
     }
 
     /// Some idle connection, out of the pool: the oldest of the backend with the most.
     pub fn spare(&mut self) -> Option<u32> {
-        let most = self.idle.values_mut().max_by_key(|numbers| numbers.len())?;
-        (!most.is_empty()).then(|| most.remove(0))
+        let most = self.idle.values_mut().max_by_key(|idle| idle.len())?;
+        (!most.is_empty()).then(|| most.remove(0).0)
     }
 }
 
@@ -217,14 +249,14 @@
         (fetch, far.into())
     }
 
-    fn end(bytes: &str, close: bool) -> Result<(Outcome, bool), Outcome> {
+    fn end(bytes: &str, close: bool) -> Result<(Outcome, Reuse), Outcome> {
         let (mut fetch, mut far) = waiting();
         far.write_all(bytes.as_bytes()).unwrap();
         let far = (!close).then_some(far);
         let found = match fetch.go_on(true) {
-            Progress::Answered(head, _, reusable) => Ok((outcome(&head), reusable)),
+            Progress::Answered(head, _, reuse) => Ok((outcome(&head), reuse)),
             Progress::Failed(outcome) => Err(outcome),
-            Progress::Going | Progress::Stale => panic!("not ended"),
+            Progress::Going | Progress::Stale(_) => panic!("not ended"),
         };
         drop(far);
         found
@@ -233,19 +265,22 @@
     #[test]
     fn every_ending_has_its_outcome() {
         let ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
-        assert_eq!(end(ok, false), Ok((Outcome::Ok, true)));
+        assert_eq!(end(ok, false), Ok((Outcome::Ok, Reuse::Yes)));
         assert_eq!(
             end(&ok.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"), false),
-            Ok((Outcome::Ok, false))
+            Ok((Outcome::Ok, Reuse::No))
         );
-        assert_eq!(end(&format!("{ok}stray"), false), Ok((Outcome::Ok, false)));
+        assert_eq!(end(&format!("{ok}stray"), false), Ok((Outcome::Ok, Reuse::Doubled)));
         let away = "X-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
-        assert_eq!(end(&format!("HTTP/1.1 503 No\r\n{away}"), false), Ok((Outcome::Full, true)));
-        assert_eq!(end(&format!("HTTP/1.1 504 No\r\n{away}"), false), Ok((Outcome::Full, true)));
-        assert_eq!(end(&format!("HTTP/1.1 500 No\r\n{away}"), false), Ok((Outcome::Error, true)));
-        assert_eq!(end(&format!("HTTP/1.1 400 No\r\n{away}"), false), Ok((Outcome::Rejected, true)));
-        assert_eq!(end(&format!("HTTP/1.1 429 No\r\n{away}"), false), Ok((Outcome::Error, true)));
-        assert_eq!(end("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false), Ok((Outcome::Error, true)));
+        assert_eq!(end(&format!("HTTP/1.1 503 No\r\n{away}"), false), Ok((Outcome::Full, Reuse::Yes)));
+        assert_eq!(end(&format!("HTTP/1.1 504 No\r\n{away}"), false), Ok((Outcome::Full, Reuse::Yes)));
+        assert_eq!(end(&format!("HTTP/1.1 500 No\r\n{away}"), false), Ok((Outcome::Error, Reuse::Yes)));
+        assert_eq!(end(&format!("HTTP/1.1 400 No\r\n{away}"), false), Ok((Outcome::Rejected, Reuse::Yes)));
+        assert_eq!(end(&format!("HTTP/1.1 429 No\r\n{away}"), false), Ok((Outcome::Error, Reuse::Yes)));
+        assert_eq!(
+            end("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false),
+            Ok((Outcome::Error, Reuse::Yes))
+        );
         assert_eq!(end(&ok[..ok.len() - 1], true), Err(Outcome::Reset));
         assert_eq!(end("", true), Err(Outcome::Reset));
         assert_eq!(end("nonsense\r\n\r\n", false), Err(Outcome::Reset));
@@ -261,14 +296,14 @@
         let body = loop {
             match fetch.go_on(true) {
                 Progress::Going => {}
-                Progress::Answered(_, body, true) => break body,
+                Progress::Answered(_, body, Reuse::Yes) => break body,
                 _ => panic!("not answered"),
             }
         };
         assert_eq!(body.len(), 400_000);
         drop(sent.join());
         assert_eq!(end(&ok.replace("Content-Length: 2", "A: b"), true), Err(Outcome::Reset));
-        assert_eq!(end(&("HTTP/1.1 103 Early\r\n\r\n".repeat(9) + ok), false), Ok((Outcome::Ok, true)));
+        assert_eq!(end(&("HTTP/1.1 103 Early\r\n\r\n".repeat(9) + ok), false), Ok((Outcome::Ok, Reuse::Yes)));
         assert_eq!(end(&"HTTP/1.1 103 Early\r\n\r\n".repeat(99), false), Err(Outcome::Reset));
     }
 
@@ -296,11 +331,11 @@
     #[test]
     fn an_idle_connection_with_an_end_or_stray_bytes_is_not_sound() {
         let (fetch, mut far) = waiting();
-        assert!(fetch.is_sound());
+        assert_eq!(fetch.soundness(), Reuse::Yes);
         far.write_all(b"x").unwrap();
-        assert!(!fetch.is_sound());
+        assert_eq!(fetch.soundness(), Reuse::Doubled);
         let (fetch, far) = waiting();
         drop(far);
-        assert!(!fetch.is_sound());
+        assert_eq!(fetch.soundness(), Reuse::No);
     }
 }
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -6,7 +6,7 @@
 
 use super::{BOTH, Due, FETCH, Node, READ, token};
 use crate::client::HARDLY_MISSED;
-use crate::fetch::{self, Fetch, Job, Progress};
+use crate::fetch::{self, Fetch, Job, Progress, Reuse};
 use crate::http1;
 use crate::ledger::Purpose;
 use crate::net;
@@ -47,12 +47,12 @@
     /// it the attempt is moot, which says nothing of the backend.
     pub(super) fn connection(&mut self, backend: BackendId) -> Result<u32, Outcome> {
         let endpoint = self.fleet.endpoint(backend).ok_or(Outcome::ConnectFailed)?;
-        while let Some(number) = self.pool.take(backend) {
+        while let Some(number) = self.pool.take(backend, self.now) {
+            let Some(fetch) = self.fetches.get_mut(number) else { continue };
+            let sound = fetch.soundness();
+            self.pool.note(sound, self.now);
             // After a stall the wheel has not yet told that it stands idle for too long.
-            if let Some(fetch) = self.fetches.get_mut(number)
-                && self.now < fetch.until
-                && fetch.is_sound()
-            {
+            if self.now < fetch.until && sound == Reuse::Yes {
                 fetch.phase = fetch::Phase::Sending;
                 return Ok(number);
             }
@@ -121,27 +121,29 @@
                     fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
                 }
             }
-            Progress::Answered(head, body, reusable) => self.answered(number, &head, body, reusable),
+            Progress::Answered(head, body, reuse) => self.answered(number, &head, body, reuse),
             Progress::Failed(outcome) => self.end_fetch(number, outcome),
-            Progress::Stale => {
+            Progress::Stale(reuse) => {
                 let backend = fetch.backend;
+                self.pool.note(reuse, self.now);
                 self.pool.remove(backend, number);
                 self.fetches.remove(number);
             }
         }
     }
 
-    pub(super) fn answered(&mut self, number: u32, head: &http1::Head, body: Body, reusable: bool) {
+    pub(super) fn answered(&mut self, number: u32, head: &http1::Head, body: Body, reuse: Reuse) {
         let Some(fetch) = self.fetches.get_mut(number) else { return };
         let (job, backend) = (fetch.job.take(), fetch.backend);
+        self.pool.note(reuse, self.now);
         // A backend that is leaving gets its connections closed.
-        if reusable && self.fleet.endpoint(backend).is_some() {
+        if reuse == Reuse::Yes && self.fleet.endpoint(backend).is_some() {
             fetch.phase = fetch::Phase::Idle;
             // Clearly before the backend's machine would close it: what crosses that close is a reset.
             let by = self.now.saturating_add(self.deployment.idle_limit / 4 * 3);
             fetch.until = by;
             fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
-            self.pool.put(backend, number);
+            self.pool.put(backend, number, self.now);
         } else {
             self.fetches.remove(number);
         }
