Tests of the end, the accept queue and the pool, each with its crossing forced

SIGTERM before the node is ready (its configuration is a pipe that the test holds back), twice and with SIGHUP in one turn beside half a request, beside a long answer that is read late, and under a client that goes on sending; clients that leave the accept queue while no descriptor is free or in a stall; an idle connection reset under an unsafe req; half an object and SIGHUP in one turn.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -32,15 +32,24 @@
 
     /// Reads until `part` has come; gives all up to its end.
     pub fn expect(&mut self, part: &str) -> String {
+        let found = self.expect_or_end(part);
+        found
+            .unwrap_or_else(|| panic!("an end before {part:?}; got {:?}", String::from_utf8_lossy(&self.got)))
+    }
+
+    /// Reads until `part` has come, or `None` where the connection ends before.
+    pub fn expect_or_end(&mut self, part: &str) -> Option<String> {
         loop {
             let at = self.got.windows(part.len()).position(|w| w == part.as_bytes());
             if let Some(end) = at.map(|at| at + part.len()) {
-                return String::from_utf8(self.got.drain(..end).collect()).unwrap();
+                return Some(String::from_utf8(self.got.drain(..end).collect()).unwrap());
             }
             let mut bytes = [0; 4096];
             match self.stream.read(&mut bytes) {
-                Ok(count) if count > 0 => self.got.extend_from_slice(&bytes[..count]),
-                other => panic!("{other:?} before {part:?}; got {:?}", String::from_utf8_lossy(&self.got)),
+                Ok(0) => return None,
+                Ok(count) => self.got.extend_from_slice(&bytes[..count]),
+                Err(error) if error.kind() == ErrorKind::ConnectionReset => return None,
+                Err(error) => panic!("{error} before {part:?}"),
             }
         }
     }
@@ -177,6 +186,23 @@
     format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
 }
 
+/// The configuration of a node with one backend in its list.
+pub fn usual(discovery: &Party, backend: &Party) -> String {
+    format!(
+        r#"{{"name":"t1","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f","limits":{{"sockets":128}},
+        "known":{{"rev":7,"all":true,"targets":[{}]}},
+        "settings":{{"azs":["a"],"kinds":["m"],"membershipMode":"subscribe","tickNs":5000000,
+          "grades":[{{"name":"report","effect":"by_key","keyScope":"cell","windowNs":3000000000,
+            "goalTimeNs":300000000,"giveUpNs":5000000000,"importance":1.0,"lateValue":0.3}}],
+          "tenants":[{{"name":"acme","quotaPerS":9.0}}],
+          "limits":{{"cancel":true,"maxAttempts":5,"maxRetryAfterNs":2000000000}},
+          "rules":{{"coldFrom":0.3,"coldNs":8800000000,"drainGraceNs":1500000000,"fallNs":2000000000,
+            "tipMultiple":3.0,"answerSlackNs":20000000}}}}}}"#,
+        discovery.address(),
+        entry("s-1", backend.address(), "Ready")
+    )
+}
+
 pub struct World {
     pub discovery: Party,
     pub backend: Party,
@@ -199,20 +225,7 @@
     /// Starts it with these variables in its environment too.
     pub fn told(change: impl Fn(String) -> String, variables: &[(&str, &str)]) -> World {
         let (discovery, backend) = (Party::new(), Party::new());
-        let config = format!(
-            r#"{{"name":"t1","listen":"127.0.0.1:0","discovery":"{}","seed":"8c1f","limits":{{"sockets":128}},
-            "known":{{"rev":7,"all":true,"targets":[{}]}},
-            "settings":{{"azs":["a"],"kinds":["m"],"membershipMode":"subscribe","tickNs":5000000,
-              "grades":[{{"name":"report","effect":"by_key","keyScope":"cell","windowNs":3000000000,
-                "goalTimeNs":300000000,"giveUpNs":5000000000,"importance":1.0,"lateValue":0.3}}],
-              "tenants":[{{"name":"acme","quotaPerS":9.0}}],
-              "limits":{{"cancel":true,"maxAttempts":5,"maxRetryAfterNs":2000000000}},
-              "rules":{{"coldFrom":0.3,"coldNs":8800000000,"drainGraceNs":1500000000,"fallNs":2000000000,
-                "tipMultiple":3.0,"answerSlackNs":20000000}}}}}}"#,
-            discovery.address(),
-            entry("s-1", backend.address(), "Ready")
-        );
-        let config = change(config);
+        let config = change(usual(&discovery, &backend));
         let address = discovery.address().to_string();
         let variables = [&[("BALANCER_DISCOVERY", address.as_str())], variables].concat();
         let mut node = run(&config, &variables);
@@ -227,6 +240,21 @@
         Line::new(TcpStream::connect(self.address).unwrap())
     }
 
+    /// What the node had read before this is carried out when this is over. The second of two messages is read
+    /// in a later turn than the first; the first may be answered in the middle of one.
+    pub fn turn(&self) {
+        let mut client = self.client();
+        for _ in 0..2 {
+            client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("\r\n\r\n");
+            client.expect("\n");
+        }
+    }
+
+    /// A client, while the node takes any.
+    pub fn try_client(&self) -> Option<Line> {
+        TcpStream::connect(self.address).ok().map(Line::new)
+    }
+
     /// Waits for a line of the log that holds `part`; gives the lines up to it.
     pub fn expect_log(&mut self, part: &str) -> String {
         let mut lines = String::new();
@@ -254,6 +282,19 @@
         lines
     }
 
+    /// Starts the program on a configuration that it has to wait for; gives what writes it once the program
+    /// reads. Its signals have their handlers by then, and it is not ready.
+    pub fn held_back(variables: &[(&str, &str)]) -> (Child, std::fs::File) {
+        let path = config_path().with_extension("fifo");
+        let _ = std::fs::remove_file(&path);
+        rustix::fs::mkfifoat(rustix::fs::CWD, &path, rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR)
+            .unwrap();
+        let node = spawn(&path, variables);
+        // Opening waits for the reader.
+        let file = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+        (node, file)
+    }
+
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
     }
@@ -330,9 +371,13 @@
 /// Runs the program with this configuration, and variables in its environment.
 pub fn run(config: &str, variables: &[(&str, &str)]) -> Child {
     std::fs::write(config_path(), config).unwrap();
+    spawn(&config_path(), variables)
+}
+
+fn spawn(config: &std::path::Path, variables: &[(&str, &str)]) -> Child {
     Command::new(env!("CARGO_BIN_EXE_kitefork"))
         .env_clear()
-        .env("BALANCER_CONFIG", config_path())
+        .env("BALANCER_CONFIG", config)
         .envs(variables.iter().copied())
         .stderr(Stdio::piped())
         .spawn()
--- a/node/tests/crossings/mod.rs
+++ b/node/tests/crossings/mod.rs
@@ -2,6 +2,8 @@
 //! to cross is put on the sockets in the order that hurts, and the node goes on. The list of all of them is
 //! docs/design/crossings.md.
 
+mod end;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -114,7 +116,7 @@
     first.serve("503 Service Unavailable\r\nX-Turned-Away: 1", "");
     client.close();
     world.go_on();
-    world.client().send(HEALTH).expect("ok\n");
+    world.turn();
     assert!(second.is_quiet());
 }
 
@@ -125,7 +127,7 @@
     watch.expect("\r\n\r\n");
     let mut client = world.client();
     client.send(&report("left", 5000));
-    world.client().send(HEALTH).expect("no backend is ready\n");
+    world.turn();
     world.stall();
     watch.send(&changes(8, &[entry("s-1", world.backend.address(), "Ready")]));
     client.close();
@@ -145,7 +147,7 @@
     let mut client = world.client();
     client.send(&report("left", 5000));
     // Once this later message is answered, the attempt has begun.
-    world.client().send(HEALTH).expect("ok\n");
+    world.turn();
     world.stall();
     full.wait();
     drop(queued);
@@ -184,14 +186,14 @@
             .replace(r#""targets":["#, &format!(r#""targets":[{},"#, entry("s-0", full.address(), "Ready")))
     });
     let mut client = world.client();
-    client.send(&report("late", 200));
-    world.client().send(HEALTH).expect("ok\n");
+    client.send(&report("late", 1500));
+    world.turn();
     world.stall();
     full.wait();
     drop(queued);
     // The kernel asks again a second after the first time.
     let mut backend = full.wait();
-    pass(200);
+    pass(1600);
     world.go_on();
     assert_eq!(backend.expect_end(), "");
     assert!(client.expect("\r\n\r\n").starts_with("HTTP/1.1 50"));
@@ -525,3 +527,29 @@
     drop((client, backend));
     assert_eq!(world.wait_exit().code(), Some(0));
 }
+
+#[test]
+fn a_second_answer_that_comes_late_is_not_taken_for_the_next_one_once_one_has_been_seen() {
+    let world = World::start();
+    let mut client = world.client();
+    client.send(&report("first", 5000));
+    let mut backend = world.backend.wait();
+    backend.expect("body");
+    // The sign: two answers in one write.
+    let twice = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none".repeat(2);
+    backend.send(&twice);
+    client.expect("one");
+    assert_eq!(backend.expect_end(), "");
+    // Two messages in one write: the second goes on a tick after the first is answered.
+    client.send(&(report("second", 5000) + &report("third", 5000)));
+    let mut backend = world.backend.wait();
+    backend.expect("x-txn: second\r\n");
+    backend.serve("200 OK", "two");
+    client.expect("\r\n\r\ntwo");
+    let mut next = world.backend.wait();
+    next.expect("x-txn: third\r\n");
+    backend.serve("200 OK", "two");
+    assert_eq!(backend.expect_end().matches("x-txn").count(), 0);
+    next.serve("200 OK", "three");
+    client.expect("\r\n\r\nthree");
+}
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -261,7 +261,7 @@
     let mut client = world.client();
     client.send(&report("r", 5000));
     // Once this later message is answered, the req has been sent on.
-    world.client().send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+    world.turn();
     let leaving = entry("s-0", full.address(), "Terminating");
     watch.send(&changes(8, &[leaving, entry("s-1", world.backend.address(), "Ready")]));
     let mut backend = world.backend.wait();
