--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -16,7 +16,7 @@
 const WARY: Nanos = 60 * SECOND;
 /// ... a connection carries no other request for this long after an answer. Guards against a second answer that
 /// comes some milliseconds late: it would be taken for the next request's. Not always, as it costs connections.
-const REST: Nanos = 20 * MS;
+const REST: Nanos = 10 * MS;
 
 /// What a fetch is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -276,7 +276,7 @@
             Due::EndDrain => self.end_drain(),
             Due::Quit => self.quit(),
             Due::Watch => self.watch_pushes(),
-            Due::GoBlind => self.informed = true,
+            Due::GoBlind => self.go_blind(),
         }
     }
 
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -71,6 +71,16 @@
         }
     }
 
+    pub(super) fn go_blind(&mut self) {
+        if !std::mem::replace(&mut self.informed, true) {
+            self.log.line(
+                self.now,
+                "blind",
+                "discovery has not spoken: serving from the list that was given",
+            );
+        }
+    }
+
     pub(super) fn watch_pushes(&mut self) {
         self.backing_off = false;
         if self.open_watch().is_none() {
--- a/node/tests/crossings/end.rs
+++ b/node/tests/crossings/end.rs
@@ -228,3 +228,14 @@
     }
     assert!(since.elapsed().as_millis() > 1_000, "{:?} for six calls", since.elapsed());
 }
+
+#[test]
+fn a_node_that_discovery_says_nothing_to_serves_within_ten_seconds_and_says_that_it_is_blind() {
+    let mut world = World::with(|config| config.replace(r#""subscribe""#, r#""automatic""#));
+    let since = std::time::Instant::now();
+    let mut client = world.client();
+    client.send(HEALTH).expect("discovery has not spoken\n");
+    world.expect_log("blind ");
+    client.send(HEALTH).expect("ok\n");
+    assert!(since.elapsed().as_secs() < 10, "{:?}", since.elapsed());
+}
