--- a/node/tests/crossings/end.rs
+++ b/node/tests/crossings/end.rs
@@ -141,10 +141,10 @@
     let mut stay = Vec::new();
     for n in 0..120 {
         let mut client = world.client();
-        client.send(&report(&format!("{}{n}", if n % 2 == 0 { "stay" } else { "left" }), 60_000));
+        client.send(&report(&format!("{}{n}", if n % 2 == 0 { "left" } else { "stay" }), 60_000));
         match n % 4 {
-            1 => client.close(),
-            3 => client.reset(),
+            0 => client.close(),
+            2 => client.reset(),
             _ => stay.push(client),
         }
     }
@@ -170,7 +170,6 @@
         )
     });
     let (mut client, mut backend) = warmed(&world, "w");
-    pass(30);
     let payout = report("once", 1500).replace("X-Lane: report", "X-Lane: payout");
     client.send(&payout);
     backend.expect("x-txn: once\r\n");
