--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -64,8 +64,8 @@
     /// When the first byte of the current message came.
     began: Option<Nanos>,
     leave_given: bool,
-    /// Its client has ended its sending, or the connection has broken. One that closes has gone, and a half-close
-    /// looks the same from here.
+    /// Its client has ended its sending, or the connection has broken. One that closes has gone, and a
+    /// half-close looks the same from here.
     pub left: bool,
     /// When it came to its present state: every time limit on a client counts from here, so that a client
     /// which sends or reads a byte now and then does not stay for ever.
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -21,11 +21,11 @@
 /// A watch that has spoken before is cut off sooner: it says something every 2 s, and what is asked for anew
 /// may at first be turned down, which takes up to 3 s more.
 const QUIET: Nanos = 3_200 * MS;
-/// An object or a list is whole within this time, or its sender only trickles: such a one is as good as silent,
-/// and what it withholds counts as told 6 s after it was due.
+/// An object or a list is whole within this time, or its sender only trickles: such a one is as good as
+/// silent, and what it withholds counts as told 6 s after it was due.
 const WHOLE: Nanos = SILENCE;
-/// Pieces of a call's bytes that are taken in one turn: the longest list. Guards against a sender without end,
-/// which would hold the loop.
+/// Pieces of a call's bytes that are taken in one turn: the longest list. Guards against a sender without
+/// end, which would hold the loop.
 const MOST_PIECES: usize = MOST_LIST / 2048;
 /// A connection to discovery that is not up by then is cut off too; asking anew finds the way back sooner
 /// than TCP's own repeats.
@@ -146,8 +146,9 @@
     }
 
     /// Takes an update; gives the event for the decisions and the backends to which connections must end:
-    /// those that are leaving and those that have moved. An older one is taken too, as its sender may have begun
-    /// to count anew; but a backend that was told to leave is back only with a newer one, or a newer start.
+    /// those that are leaving and those that have moved. An older one is taken too, as its sender may have
+    /// begun to count anew; but a backend that was told to leave is back only with a newer one, or a newer
+    /// start.
     pub fn apply(&mut self, now: Nanos, clock: &Clock, update: &Update, age: Age) -> (Event, Vec<BackendId>) {
         let mut ends = Vec::new();
         let mut backends: Vec<Backend> =
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -14,8 +14,9 @@
 
 /// Once some backend has said more than it was asked, for so long ...
 const WARY: Nanos = 60 * SECOND;
-/// ... a connection carries no other request for this long after an answer. Guards against a second answer that
-/// comes some milliseconds late: it would be taken for the next request's. Not always, as it costs connections.
+/// ... a connection carries no other request for this long after an answer. Guards against a second answer
+/// that comes some milliseconds late: it would be taken for the next request's. Not always, as it costs
+/// connections.
 const REST: Nanos = 10 * MS;
 
 /// What a fetch is for.
--- a/node/src/node/end.rs
+++ b/node/src/node/end.rs
@@ -54,8 +54,8 @@
         }
     }
 
-    /// SIGKILL is near: whatever waits gets its answer now, and what has come unread is refused. Sessions then
-    /// end by themselves once their answer is written.
+    /// SIGKILL is near: whatever waits gets its answer now, and what has come unread is refused. Sessions
+    /// then end by themselves once their answer is written.
     pub(super) fn end_drain(&mut self) {
         for req in self.reqs.unanswered() {
             self.reqs.give_back(self.now, req);
@@ -65,8 +65,8 @@
         self.log.line(self.now, "last-answers", format_args!("sessions={}", self.sessions.len()));
     }
 
-    /// No time is left. A socket that closes with bytes unread resets its connection, and what the kernel still
-    /// holds of an answer is lost with it.
+    /// No time is left. A socket that closes with bytes unread resets its connection, and what the kernel
+    /// still holds of an answer is lost with it.
     pub(super) fn quit(&mut self) {
         self.quit = true;
         let numbers: Vec<u32> = self.sessions.iter().map(|(number, _)| number).collect();
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -97,8 +97,8 @@
     pub(super) fn go_on(&mut self, number: u32, ready: bool) {
         let Some(fetch) = self.fetches.get_mut(number) else { return };
         let before = fetch.phase;
-        // A connection that has come up, or taken more, through a stall: its time may be over though the wheel
-        // has not said so yet.
+        // A connection that has come up, or taken more, through a stall: its time may be over though the
+        // wheel has not said so yet.
         let unwritten = matches!(before, fetch::Phase::Connecting | fetch::Phase::Sending);
         if unwritten && (self.now > fetch.write_by || self.now >= fetch.until) {
             return self.end_fetch(number, Outcome::ConnectFailed);
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -88,8 +88,8 @@
         }
     }
 
-    /// A part of the grace for drains, within these bounds: where lists are pushed, a node without a watch must
-    /// be back on it well within that.
+    /// A part of the grace for drains, within these bounds: where lists are pushed, a node without a watch
+    /// must be back on it well within that.
     fn part_of_grace(&self, part: Nanos, most: Nanos) -> Nanos {
         (self.deployment.settings.rules.drain_grace / part).clamp(SHORTEST, most)
     }
@@ -116,15 +116,16 @@
     fn call_failed(&mut self, why: impl std::fmt::Display) {
         self.trace.line(self.now, format_args!("call-failed why={why}"));
         self.log.line(self.now, "discovery-failed", why);
-        // A call that a new configuration has brought forward may fail before the backoff is over: the next one
-        // comes anyway, and there would from then on be two rows of calls.
+        // A call that a new configuration has brought forward may fail before the backoff is over: the next
+        // one comes anyway, and there would from then on be two rows of calls.
         if std::mem::replace(&mut self.backing_off, true) {
             return;
         }
         if self.deployment.settings.ask_list {
             self.reqs.feed(self.now, Event::ListFailed);
         } else {
-            // The agent is this node's own: no crowd of others calls it. At once first, then ever more seldom.
+            // The agent is this node's own: no crowd of others calls it. At once first, then ever more
+            // seldom.
             let wait = match self.failed_calls {
                 0 => 0,
                 n => self.part_of_grace(4, MOST_WAIT).min(SHORTEST << n.min(8)),
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -16,8 +16,8 @@
 pub(super) const ACCEPT_PAUSE: Nanos = 50 * MS;
 
 impl Node {
-    /// Takes every client that waits: what the kernel has accepted counts as ours. In one turn no more than its
-    /// queue holds: a flood that never ends must not hold the loop.
+    /// Takes every client that waits: what the kernel has accepted counts as ours. In one turn no more than
+    /// its queue holds: a flood that never ends must not hold the loop.
     pub(super) fn accept(&mut self) {
         for _ in 0..=net::QUEUE {
             let Some(listener) = self.listener.as_ref().filter(|_| self.accepting) else { return };
@@ -85,8 +85,8 @@
         false
     }
 
-    /// Closes a session that can be spared, unless a request has come on it that nobody has read: to its client
-    /// that close would be one without an answer. Tells whether it has closed.
+    /// Closes a session that can be spared, unless a request has come on it that nobody has read: to its
+    /// client that close would be one without an answer. Tells whether it has closed.
     pub(super) fn spare(&mut self, number: u32) -> bool {
         if self.sessions.get(number).is_some_and(Session::has_unread) {
             self.read_session(number);
@@ -205,8 +205,8 @@
                 let waited = self.now.saturating_sub(began);
                 let left = session.left;
                 match client::route(head, body, &self.deployment, waited) {
-                    // Nobody waits for it: it must not run. What asks nothing of a backend is answered all the
-                    // same, for those who end their sending with the request.
+                    // Nobody waits for it: it must not run. What asks nothing of a backend is answered all
+                    // the same, for those who end their sending with the request.
                     Route::Req(..) if left => {
                         self.trace.line(self.now, format_args!("left session={number}"));
                         self.close_session(number);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -240,8 +240,8 @@
         Line::new(TcpStream::connect(self.address).unwrap())
     }
 
-    /// What the node had read before this is carried out when this is over. The second of two messages is read
-    /// in a later turn than the first; the first may be answered in the middle of one.
+    /// What the node had read before this is carried out when this is over. The second of two messages is
+    /// read in a later turn than the first; the first may be answered in the middle of one.
     pub fn turn(&self) {
         let mut client = self.client();
         for _ in 0..2 {
