The loop sorts its events without copies; one owner for a key's path and for the drain

Read again, no behaviour changed: each turn of the loop built two lists of its events, now it passes over them twice; `draining` said the same as `ends`; a member's last state was looked up twice; the path of a key was put together in three places, and two errors of the configuration wrote it out by hand.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -58,11 +58,11 @@
     let seed = root.get("seed")?;
     let deployment = kitefork_settings::read(&root.get("settings")?)?;
     if deployment.settings.classes.iter().any(|class| class.streamed) {
-        return Err("field `settings.grades`: streamed classes are not carried by this node".into());
+        return Err(root.bad_at("settings.grades", "streamed classes are not carried by this node"));
     }
     let sockets: usize = limit("sockets", 1024)?;
     if sockets < LEAST_SOCKETS {
-        return Err(format!("field `limits.sockets`: must be {LEAST_SOCKETS} or more"));
+        return Err(root.bad_at("limits.sockets", &format!("must be {LEAST_SOCKETS} or more")));
     }
     Ok(Config {
         name: told("BALANCER_NAME", "name")?,
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -170,10 +170,10 @@
         }
         for (entry, backend) in update.entries.iter().zip(&backends) {
             let (endpoint, state) = (entry.endpoint, backend.state);
-            let known = self.members.get(&backend.id).map_or(0, |member| member.boot_ms);
-            let member = Member { endpoint, state, boot_ms: known.max(entry.boot_ms), told: now };
-            let before = self.members.insert(backend.id, member);
+            let before = self.members.get(&backend.id);
             let moved = before.is_some_and(|before| before.endpoint != endpoint);
+            let boot_ms = before.map_or(0, |before| before.boot_ms).max(entry.boot_ms);
+            self.members.insert(backend.id, Member { endpoint, state, boot_ms, told: now });
             if moved || backend.state != BackendState::Ready {
                 ends.push(backend.id);
             }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -69,6 +69,12 @@
     EventData::new_u64(kind << 32 | u64::from(number))
 }
 
+/// Whether an event may forbid a send: a client has left, or there is news of the backends.
+fn forbids(event: &epoll::Event) -> bool {
+    let (kind, flags) = (event.data.u64() >> 32, event.flags);
+    kind == CALL || (kind == SESSION && flags.intersects(LEFT))
+}
+
 pub struct Node {
     clock: Clock,
     now: Nanos,
@@ -83,7 +89,6 @@
     accepting: bool,
     /// Readable when the node is to end, and when it is to read its configuration anew.
     signals: [UnixStream; 2],
-    draining: bool,
     /// From SIGTERM on: when whatever waits gets its answer.
     ends: Option<Nanos>,
     /// SIGKILL is due: the process ends whatever is open.
@@ -153,7 +158,6 @@
             listener: Some(listener),
             accepting: true,
             signals,
-            draining: false,
             ends: None,
             quit: false,
             budget: Budget::new(config.memory_mb.max(4).saturating_mul(1 << 18)),
@@ -211,17 +215,12 @@
             looked_again = false;
             // What forbids a send goes before what may lead to one, and is carried out only when all of it is
             // known: clients that have left, and news of the backends.
-            let of = |event: &epoll::Event| (event.data.u64() >> 32, event.data.u64() as u32, event.flags);
-            let (first, then): (Vec<_>, Vec<_>) = events
-                .iter()
-                .map(of)
-                .partition(|(kind, _, flags)| *kind == CALL || (*kind == SESSION && flags.intersects(LEFT)));
-            for (kind, number, flags) in first {
-                self.on_socket(kind, number, flags);
+            for event in events.iter().filter(|event| forbids(event)) {
+                self.on_socket(event);
             }
             self.settle();
-            for (kind, number, flags) in then {
-                self.on_socket(kind, number, flags);
+            for event in events.iter().filter(|event| !forbids(event)) {
+                self.on_socket(event);
                 self.settle();
             }
             for due in self.wheel.fire(self.now) {
@@ -233,12 +232,18 @@
         Ok(())
     }
 
+    fn is_draining(&self) -> bool {
+        self.ends.is_some()
+    }
+
     fn is_over(&self) -> bool {
-        self.quit || (self.draining && self.listener.is_none() && self.sessions.len() == 0)
+        self.quit || (self.is_draining() && self.listener.is_none() && self.sessions.len() == 0)
     }
 
-    fn on_socket(&mut self, kind: u64, number: u32, flags: EventFlags) {
-        match kind {
+    fn on_socket(&mut self, event: &epoll::Event) {
+        let (data, flags) = (event.data.u64(), event.flags);
+        let number = data as u32;
+        match data >> 32 {
             LISTENER => self.accept(),
             SIGNAL => self.on_signal(number),
             SESSION => self.session_ready(number, flags),
--- a/node/src/node/end.rs
+++ b/node/src/node/end.rs
@@ -20,10 +20,9 @@
 
 impl Node {
     pub(super) fn begin_drain(&mut self) {
-        if self.draining {
+        if self.is_draining() {
             return;
         }
-        self.draining = true;
         self.log.line(self.now, "sigterm", format_args!("sessions={}", self.sessions.len()));
         let longest = self.deployment.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let ends = self.now + longest.min(LONGEST_DRAIN) + DRAIN_MORE;
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -100,10 +100,8 @@
             let number = self.calls.vacant().ok_or(Errno::MFILE)?;
             epoll::add(&self.epoll, &socket, token(CALL, number), BOTH)?;
             let mut call = Call::new(socket, watch, self.rev, self.discovery, self.now);
-            let by = match self.deployment.settings.ask_list {
-                true => discovery::CONNECT,
-                false => self.part_of_grace(2, discovery::CONNECT),
-            };
+            let asked = self.deployment.settings.ask_list;
+            let by = if asked { discovery::CONNECT } else { self.part_of_grace(2, discovery::CONNECT) };
             call.deadline.set(self.now + by, &mut self.wheel, Due::Call(number));
             self.calls.insert(call);
             Ok(())
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -226,7 +226,7 @@
     }
 
     pub(super) fn reply_health(&mut self, number: u32) {
-        let (status, word) = if self.draining {
+        let (status, word) = if self.is_draining() {
             (503, "ending\n")
         } else if !self.informed {
             (503, "discovery has not spoken\n")
@@ -278,8 +278,9 @@
         body: &[u8],
         end: bool,
     ) {
+        let end = end || self.is_draining();
         if let Some(session) = self.sessions.get_mut(number) {
-            let end = end || self.draining || session.left;
+            let end = end || session.left;
             session.answer(self.now, status, headers, body, end);
         }
     }
--- a/settings/src/json.rs
+++ b/settings/src/json.rs
@@ -34,14 +34,12 @@
     pub fn find(&self, key: &str) -> Option<Place<'a>> {
         let Value::Object(object) = self.value else { return None };
         let value = object.get(key).filter(|v| !matches!(v, Value::Null))?;
-        let dot = if self.path.is_empty() { "" } else { "." };
-        Some(Place { value, path: format!("{}{dot}{key}", self.path) })
+        Some(Place { value, path: self.path_to(key) })
     }
 
     /// The value under `key`, which must be there.
     pub fn get(&self, key: &str) -> Result<Place<'a>, Fault> {
-        let dot = if self.path.is_empty() { "" } else { "." };
-        self.find(key).ok_or_else(|| format!("missing field `{}{dot}{key}`", self.path))
+        self.find(key).ok_or_else(|| format!("missing field `{}`", self.path_to(key)))
     }
 
     /// The value under `key` as `read` has it, or `default` where there is none.
@@ -56,8 +54,12 @@
 
     /// An error about what stands under a key of this place.
     pub fn bad_at(&self, key: &str, wanted: &str) -> Fault {
+        format!("field `{}`: {wanted}", self.path_to(key))
+    }
+
+    fn path_to(&self, key: &str) -> String {
         let dot = if self.path.is_empty() { "" } else { "." };
-        format!("field `{}{dot}{key}`: {wanted}", self.path)
+        format!("{}{dot}{key}", self.path)
     }
 
     /// A whole number, 0 or more.
