Socket tests share a header, a chunk, the health request and their configurations

Read again: the new tests had written out what stood in the others (a payout, a pushed list, a backend whose queue is full, 33 busy clients, a chunk, a header's value, the health request). No assertion changed.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -80,8 +80,7 @@
         let since = std::time::Instant::now();
         while !self.send(request).expect("\n").is_empty() {
             let head = self.expect("\r\n\r\n");
-            let length = head.split("content-length: ").nth(1).and_then(|rest| rest.split('\r').next());
-            let body = self.take(length.unwrap().parse().unwrap());
+            let body = self.take(header(&head, "content-length").parse().unwrap());
             if body == wanted {
                 return;
             }
@@ -183,7 +182,12 @@
 /// One more object of a watch that has begun.
 pub fn more_changes(rev: u32, entries: &[String]) -> String {
     let line = format!(r#"{{"rev":{rev},"all":false,"targets":[{}]}}"#, entries.join(",")).replace('\n', "");
-    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+    chunk(&(line + "\n"))
+}
+
+/// One piece of an answer in chunks.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
 }
 
 /// The configuration of a node with one backend in its list.
@@ -203,6 +207,17 @@
     )
 }
 
+/// A configuration with one more backend, at the head of its list.
+pub fn and(config: String, uid: &str, at: SocketAddr) -> String {
+    config.replace(r#""targets":["#, &format!(r#""targets":[{},"#, entry(uid, at, "Ready")))
+}
+
+/// A configuration whose one ready backend is here, and whose connections have time to come up.
+pub fn slow_to_connect(config: String, at: SocketAddr) -> String {
+    let config = config.replace("Ready", "Terminating");
+    and(config, "s-0", at).replace(r#""maxAttempts":5"#, r#""maxAttempts":5,"connectTimeoutNs":20000000000"#)
+}
+
 pub struct World {
     pub discovery: Party,
     pub backend: Party,
@@ -245,7 +260,7 @@
     pub fn turn(&self) {
         let mut client = self.client();
         for _ in 0..2 {
-            client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("\r\n\r\n");
+            client.send(HEALTH).expect("\r\n\r\n");
             client.expect("\n");
         }
     }
@@ -384,6 +399,15 @@
         .unwrap()
 }
 
+/// What tells whether the node can serve.
+pub const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// The value of a header that must be there.
+pub fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    let rest = head.split(&format!("{name}: ")).nth(1).unwrap_or_else(|| panic!("no {name} in {head}"));
+    rest.split('\r').next().unwrap_or(rest)
+}
+
 /// A request as clients put it, with `patience` in milliseconds.
 pub fn report(id: &str, patience: u32) -> String {
     format!(
--- a/node/tests/crossings/end.rs
+++ b/node/tests/crossings/end.rs
@@ -2,14 +2,13 @@
 
 use std::io::Write;
 
-use super::{HEALTH, short, warmed};
-use crate::common::{Line, Party, World, entry, pass, report, usual};
+use super::{all_busy, few_sockets, pushed, short, warmed};
+use crate::common::{HEALTH, Line, Party, World, changes, entry, header, pass, report, until, usual};
+use crate::{payout, with_payouts};
 
 /// The name of the request that comes on this connection of the node's, unless it ends without one.
 fn sent(line: &mut Line) -> Option<String> {
-    let head = line.expect_or_end("body")?;
-    let name = head.split("x-txn: ").nth(1).and_then(|rest| rest.split('\r').next());
-    Some(name.expect("a name").to_string())
+    line.expect_or_end("body").map(|head| header(&head, "x-txn").to_string())
 }
 
 #[test]
@@ -104,11 +103,8 @@
 
 #[test]
 fn clients_that_leave_the_accept_queue_while_no_descriptor_is_free_are_not_sent_on_for() {
-    let mut world = World::with(|config| config.replace(r#""sockets":128"#, r#""sockets":64"#));
-    let mut busy: Vec<Line> = (0..33).map(|_| world.client()).collect();
-    for (n, client) in busy.iter_mut().enumerate() {
-        client.send(&report(&format!("busy{n}"), 60_000));
-    }
+    let mut world = World::with(few_sockets);
+    let busy = all_busy(&world);
     let mut waiting: Vec<Line> = (0..6).map(|_| world.client()).collect();
     for (n, client) in waiting.iter_mut().enumerate() {
         client.send(&report(&format!("late{n}"), 60_000));
@@ -162,16 +158,9 @@
 
 #[test]
 fn an_unsafe_req_whose_idle_connection_is_reset_under_it_runs_once_and_is_no_refusal() {
-    let world = World::with(|config| {
-        config.replace(
-            r#""grades":["#,
-            r#""grades":[{"name":"payout","effect":"once","goalTimeNs":400000000,"giveUpNs":2000000000,
-                "importance":8.0},"#,
-        )
-    });
+    let world = World::with(|config| with_payouts(config, &[]));
     let (mut client, mut backend) = warmed(&world, "w");
-    let payout = report("once", 1500).replace("X-Lane: report", "X-Lane: payout");
-    client.send(&payout);
+    client.send(&payout("once"));
     backend.expect("x-txn: once\r\n");
     backend.reset();
     let answer = client.expect("\r\n\r\n");
@@ -185,7 +174,7 @@
     let mut world = World::start();
     let (next, other) = (Party::new(), Party::new());
     let mut watch = world.discovery.wait();
-    let whole = crate::common::changes(8, &[entry("s-1", world.backend.address(), "Terminating")]);
+    let whole = changes(8, &[entry("s-1", world.backend.address(), "Terminating")]);
     world.stall();
     watch.send(&whole[..whole.len() - 20]);
     let old = world.discovery.address().to_string();
@@ -195,12 +184,12 @@
     moved.expect("after=7 ");
     watch.expect_end();
     // The end of the old object here would be none of this one's.
-    moved.send(&crate::common::changes(9, &[entry("s-2", other.address(), "Ready")]));
+    moved.send(&changes(9, &[entry("s-2", other.address(), "Ready")]));
     world.expect_log("reload discovery=");
     let mut client = world.client();
     for id in ["h1", "h2"] {
         client.send(&report(id, 5000));
-        let mut line = crate::common::until(|| world.backend.poll().or_else(|| other.poll()));
+        let mut line = until(|| world.backend.poll().or_else(|| other.poll()));
         line.expect("body");
         line.serve("200 OK\r\nConnection: close", id);
         client.expect(&format!("\r\n\r\n{id}"));
@@ -209,7 +198,7 @@
 
 #[test]
 fn reloads_while_pushes_fail_start_no_second_row_of_calls() {
-    let mut world = World::with(|config| config.replace(r#""subscribe""#, r#""automatic""#));
+    let mut world = World::with(pushed);
     for _ in 0..8 {
         world.discovery.wait().close();
     }
@@ -230,7 +219,7 @@
 
 #[test]
 fn a_node_that_discovery_says_nothing_to_serves_within_ten_seconds_and_says_that_it_is_blind() {
-    let mut world = World::with(|config| config.replace(r#""subscribe""#, r#""automatic""#));
+    let mut world = World::with(pushed);
     let since = std::time::Instant::now();
     let mut client = world.client();
     client.send(HEALTH).expect("discovery has not spoken\n");
--- a/node/tests/crossings/mod.rs
+++ b/node/tests/crossings/mod.rs
@@ -4,21 +4,12 @@
 
 mod end;
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::common::{Line, Party, WATCH, World, changes, entry, more_changes, pass, report, until};
-
-const HEALTH: &str = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
-
-/// The usual configuration with one more backend at the head of the list.
-fn and(config: String, uid: &str, at: SocketAddr) -> String {
-    config.replace(r#""targets":["#, &format!(r#""targets":[{},"#, entry(uid, at, "Ready")))
-}
-
-fn slow_to_connect(config: String) -> String {
-    config.replace(r#""maxAttempts":5"#, r#""maxAttempts":5,"connectTimeoutNs":20000000000"#)
-}
+use crate::common::{
+    HEALTH, Line, Party, WATCH, World, and, changes, chunk, entry, header, more_changes, pass, report,
+    slow_to_connect, until,
+};
 
 /// A client has one request answered, so that the node has an idle connection to the backend.
 fn warmed(world: &World, id: &str) -> (Line, Line) {
@@ -140,10 +131,7 @@
 fn a_client_that_leaves_while_its_attempt_connects_has_nothing_written_also_without_leave_to_cancel() {
     let (full, queued) = Party::full();
     let world = World::with(|config| {
-        slow_to_connect(config)
-            .replace(r#""cancel":true"#, r#""cancel":false"#)
-            .replace("Ready", "Terminating")
-            .replace(r#""targets":["#, &format!(r#""targets":[{},"#, entry("s-0", full.address(), "Ready")))
+        slow_to_connect(config, full.address()).replace(r#""cancel":true"#, r#""cancel":false"#)
     });
     let mut client = world.client();
     client.send(&report("left", 5000));
@@ -181,11 +169,7 @@
 #[test]
 fn a_connection_that_comes_up_after_the_time_of_its_req_carries_nothing() {
     let (full, queued) = Party::full();
-    let world = World::with(|config| {
-        slow_to_connect(config)
-            .replace("Ready", "Terminating")
-            .replace(r#""targets":["#, &format!(r#""targets":[{},"#, entry("s-0", full.address(), "Ready")))
-    });
+    let world = World::with(|config| slow_to_connect(config, full.address()));
     let mut client = world.client();
     client.send(&report("late", 1500));
     world.turn();
@@ -236,13 +220,29 @@
 
 // ---- Sessions that are given up ----
 
+fn few_sockets(config: String) -> String {
+    config.replace(r#""sockets":128"#, r#""sockets":64"#)
+}
+
+/// Clients that a node of few sockets holds: 64 descriptors less 20, of which a quarter is kept for backends.
+const MOST_SESSIONS: usize = 33;
+
+/// As many clients as it holds, each with a request out or waiting.
+fn all_busy(world: &World) -> Vec<Line> {
+    let ask = |n| {
+        let mut client = world.client();
+        client.send(&report(&format!("busy{n}"), 60_000));
+        client
+    };
+    (0..MOST_SESSIONS).map(ask).collect()
+}
+
 #[test]
 fn a_session_that_is_spared_for_a_new_client_is_not_one_on_which_a_request_has_come() {
-    let world = World::with(|config| config.replace(r#""sockets":128"#, r#""sockets":64"#));
-    // 64 descriptors less 20, of which a quarter is kept for backends.
+    let world = World::with(few_sockets);
     let before = world.descriptors();
-    let mut clients: Vec<Line> = (0..33).map(|_| world.client()).collect();
-    until(|| (world.descriptors() >= before + 33).then_some(()));
+    let mut clients: Vec<Line> = (0..MOST_SESSIONS).map(|_| world.client()).collect();
+    until(|| (world.descriptors() >= before + MOST_SESSIONS).then_some(()));
     world.stall();
     let mut new = world.client();
     clients[0].send(&report("asks", 5000));
@@ -309,18 +309,14 @@
     world.expect_log("sigterm");
     client.send(&report("capped", 5000));
     let head = world.backend.wait().expect("\r\n\r\n");
-    let left = head.split("x-remaining-ms: ").nth(1).and_then(|rest| rest.split('\r').next());
-    let left: u32 = left.unwrap().parse().unwrap();
+    let left: u32 = header(&head, "x-remaining-ms").parse().unwrap();
     assert!(left <= 900, "{left} ms, though SIGKILL may come 1.1 s after SIGTERM");
 }
 
 #[test]
 fn clients_that_wait_for_a_descriptor_when_the_listener_is_to_close_are_still_taken() {
-    let mut world = World::with(|config| config.replace(r#""sockets":128"#, r#""sockets":64"#));
-    let mut busy: Vec<Line> = (0..33).map(|_| world.client()).collect();
-    for (n, client) in busy.iter_mut().enumerate() {
-        client.send(&report(&format!("busy{n}"), 60_000));
-    }
+    let mut world = World::with(few_sockets);
+    let mut busy = all_busy(&world);
     let mut late = world.client();
     late.send(&report("late", 4000));
     world.expect_log("sessions-full");
@@ -417,10 +413,6 @@
     text + &entries.join(",\n") + "\n  ]\n}\n"
 }
 
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
 #[test]
 fn a_watch_whose_objects_are_indented_is_read_in_whatever_pieces_they_come() {
     let mut world = World::start();
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -3,7 +3,9 @@
 mod common;
 mod crossings;
 
-use common::{Party, WATCH, World, changes, entry, more_changes, report, run};
+use common::{
+    HEALTH, Party, WATCH, World, and, changes, chunk, entry, more_changes, report, run, slow_to_connect,
+};
 
 #[test]
 fn a_req_passes_unchanged_and_its_answer_too_on_one_connection_each() {
@@ -74,7 +76,7 @@
 fn a_client_that_waits_for_leave_gets_it_and_health_is_told() {
     let world = World::start();
     let mut client = world.client();
-    client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("200 OK");
+    client.send(HEALTH).expect("200 OK");
     let request = report("d", 5000).replace("Host", "Expect: 100-continue\r\nHost");
     let (head, body) = request.split_at(request.len() - 4);
     client.expect("ok\n");
@@ -126,9 +128,7 @@
 #[test]
 fn what_never_reached_a_dead_backend_goes_elsewhere() {
     let dead = Party::new().address();
-    let world = World::with(|config| {
-        config.replace(r#""targets":["#, &format!(r#""targets":[{},"#, entry("s-0", dead, "Ready")))
-    });
+    let world = World::with(|config| and(config, "s-0", dead));
     let mut client = world.client();
     client.send(&report("m", 5000));
     let mut backend = world.backend.wait();
@@ -170,22 +170,21 @@
     // 128 descriptors less 20 for the rest, and a quarter of those are kept for backends.
     let mut clients: Vec<_> = (0..82).map(|_| world.client()).collect();
     let mut newest = clients.pop().unwrap();
-    newest.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+    newest.send(HEALTH).expect("ok\n");
     assert_eq!(clients[0].expect_end(), "");
 }
 
 #[test]
 fn a_flood_of_clients_that_ask_once_or_never_pushes_out_none_that_has_come_back() {
     let world = World::start();
-    let ask = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
     let mut client = world.client();
-    client.send(ask).expect("ok\n");
-    client.send(ask).expect("ok\n");
+    client.send(HEALTH).expect("ok\n");
+    client.send(HEALTH).expect("ok\n");
     let mut flood: Vec<_> = (0..120).map(|_| world.client()).collect();
     for once in flood.iter_mut().skip(100) {
-        once.send(ask).expect("ok\n");
+        once.send(HEALTH).expect("ok\n");
     }
-    client.send(ask).expect("ok\n");
+    client.send(HEALTH).expect("ok\n");
 }
 
 #[test]
@@ -193,21 +192,20 @@
     // A third of the 128 descriptors is all that clients may hold; then others can't come.
     let world = World::start();
     let since = std::time::Instant::now();
-    let ask = "GET /_health HTTP/1.1\r\nHost: a\r\n\r\n";
     let mut client = world.client();
-    client.send(ask).expect("ok\n");
+    client.send(HEALTH).expect("ok\n");
     let mut once: Vec<_> = (0..42).map(|_| world.client()).collect();
     for once in &mut once {
-        once.send(ask).expect("ok\n");
+        once.send(HEALTH).expect("ok\n");
     }
-    client.send(ask).expect("ok\n");
+    client.send(HEALTH).expect("ok\n");
     // The oldest go until a quarter is left, none of which has gone.
     for gone in &mut once[..11] {
         assert_eq!(gone.expect_end(), "");
     }
     assert!(since.elapsed().as_secs() < 5, "{:?}", since.elapsed());
     for kept in once[11..].iter_mut().chain([&mut client]) {
-        kept.send(ask).expect("ok\n");
+        kept.send(HEALTH).expect("ok\n");
     }
 }
 
@@ -220,7 +218,7 @@
     backend.expect("body");
     // Silent ones take all that clients may have; a session with a req is none of those that close.
     let mut flood: Vec<_> = (0..100).map(|_| world.client()).collect();
-    flood[99].send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+    flood[99].send(HEALTH).expect("ok\n");
     assert!((40..=64).contains(&world.descriptors()), "{}", world.descriptors());
     backend.serve("200 OK\r\nConnection: close", "one");
     first.expect("one");
@@ -251,12 +249,7 @@
 fn a_fetch_that_is_not_connected_when_its_backend_drains_goes_elsewhere() {
     // Its first byte could come after the grace. The connection's own time limit is far off here.
     let (full, _queued) = Party::full();
-    let world = World::with(|config| {
-        let config = config
-            .replace("Ready", "Terminating")
-            .replace(r#""maxAttempts":5"#, r#""maxAttempts":5,"connectTimeoutNs":20000000000"#);
-        config.replace(r#""targets":["#, &format!(r#""targets":[{},"#, entry("s-0", full.address(), "Ready")))
-    });
+    let world = World::with(|config| slow_to_connect(config, full.address()));
     let mut watch = world.discovery.wait();
     let mut client = world.client();
     client.send(&report("r", 5000));
@@ -432,7 +425,7 @@
 fn without_a_backend_a_req_is_refused_with_advice() {
     let world = World::with(|config| config.replace(r#""state":"Ready""#, r#""state":"Terminating""#));
     let mut client = world.client();
-    client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("503 Service Unavailable");
+    client.send(HEALTH).expect("503 Service Unavailable");
     client.send(&report("h", 100));
     let answer = client.expect("harmless\n");
     assert!(answer.contains("503 ") && answer.contains("retry-after: 2\r\n"), "{answer}");
@@ -441,7 +434,6 @@
 #[test]
 fn the_watch_is_resumed_after_a_bad_line_and_moves_reqs_to_new_backends() {
     let mut world = World::start();
-    let chunk = |line: &str| format!("{:x}\r\n{line}\r\n", line.len());
     let mut watch = world.discovery.wait();
     assert!(watch.expect("\r\n\r\n").starts_with("GET /catalog/members?watch=1&after=7 HTTP/1.1\r\n"));
     let other = Party::new();
@@ -470,7 +462,7 @@
     busy.send(&report("j", 3300));
     let mut backend = world.backend.wait();
     backend.expect("body");
-    idle.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+    idle.send(HEALTH).expect("ok\n");
     world.terminate();
     world.expect_log("sigterm");
     // New clients and old ones are served for a while, and told to go.
@@ -510,7 +502,7 @@
     assert!(!log.contains("discovery-failed") && !log.contains("out of reach"), "{log}");
     backend.serve("200 OK", "played");
     client.expect("played");
-    client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+    client.send(HEALTH).expect("ok\n");
     // A reload and an end that come together are both followed.
     let last = Party::new();
     world.reload(|config| config.replace(&old, &last.address().to_string()));
@@ -574,7 +566,7 @@
             None => call.close(),
         }
         let mut client = world.client();
-        client.send("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").expect("ok\n");
+        client.send(HEALTH).expect("ok\n");
         client.send(&report("u", 5000));
         let mut backend = world.backend.wait();
         backend.expect("body");
