--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -142,8 +142,7 @@
 
     /// No connection of the node's waits here.
     pub fn is_quiet(&self) -> bool {
-        self.0.set_nonblocking(true).unwrap();
-        self.0.accept().is_err()
+        self.poll().is_none()
     }
 
     /// The node's next connection, if one waits here.
--- a/node/tests/crossings/end.rs
+++ b/node/tests/crossings/end.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 
-use super::{all_busy, few_sockets, pushed, short, warmed};
+use super::{all_busy, few_sockets, pushed, serve_next, short, warmed};
 use crate::common::{HEALTH, Line, Party, World, changes, entry, header, pass, report, until, usual};
 use crate::{payout, with_payouts};
 
@@ -227,3 +227,103 @@
     client.send(HEALTH).expect("ok\n");
     assert!(since.elapsed().as_secs() < 10, "{:?}", since.elapsed());
 }
+
+// ---- A connection that closes at any byte ----
+
+#[test]
+fn an_answer_that_is_cut_at_any_byte_is_a_failure_that_ran_once_and_a_whole_one_passes() {
+    let world = World::with(|config| with_payouts(config, &[]));
+    let whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\npai\r\n1\r\nd\r\n0\r\n\r\n";
+    let ways: [fn(Line); 2] = [Line::close, Line::reset];
+    for cut in 0..=whole.len() {
+        for (way, end) in ways.iter().enumerate() {
+            let mut client = world.client();
+            client.send(&payout(&format!("cut{cut}-{way}")));
+            let mut backend = world.backend.wait();
+            backend.expect("body");
+            backend.send(&whole[..cut]);
+            if cut == whole.len() {
+                assert!(client.expect("\r\n\r\npaid").starts_with("HTTP/1.1 200 "));
+            }
+            end(backend);
+            if cut < whole.len() {
+                let answer = client.expect("\r\n\r\n");
+                assert!(answer.starts_with("HTTP/1.1 502 "), "{answer} at {cut}");
+            }
+            client.send(HEALTH).expect("\n");
+            assert!(world.backend.is_quiet(), "it went out again, cut at {cut}");
+        }
+    }
+}
+
+#[test]
+fn a_request_that_is_cut_at_any_byte_goes_nowhere_and_holds_up_nobody() {
+    let world = World::start();
+    let whole = report("cut", 5000);
+    let ways: [fn(Line); 2] = [Line::close, Line::reset];
+    for cut in 0..whole.len() {
+        let mut client = world.client();
+        client.send(&whole[..cut]);
+        ways[cut % 2](client);
+    }
+    world.turn();
+    serve_next(&world, "next");
+    assert!(world.backend.is_quiet());
+}
+
+// ---- Settings of other customers ----
+
+#[test]
+fn whatever_the_settings_allow_starts_serves_and_ends() {
+    type Change = (&'static str, &'static str, String);
+    let many = |count: usize| {
+        let names: Vec<String> = (0..count).map(|n| format!(r#"{{"name":"t{n}"}}"#)).collect();
+        format!(r#"{{"name":"acme","quotaPerS":9.0}},{}"#, names.join(","))
+    };
+    let changes: Vec<Change> = vec![
+        ("deadlines of 150 ms", "5000000000", "150000000".into()),
+        ("deadlines of 30 s", "5000000000", "30000000000".into()),
+        ("forty tenants", r#"{"name":"acme","quotaPerS":9.0}"#, many(39)),
+        ("eight zones", r#""azs":["a"]"#, r#""azs":["b","c","d","e","f","g","h","a"],"zone":7"#.into()),
+        ("one attempt", r#""maxAttempts":5"#, r#""maxAttempts":1"#.into()),
+        ("nothing called off", r#""cancel":true"#, r#""cancel":false"#.into()),
+        ("no advice", r#","maxRetryAfterNs":2000000000"#, String::new()),
+        ("ticks of 1 us", r#""tickNs":5000000"#, r#""tickNs":1000"#.into()),
+        ("ticks of 1 s", r#""tickNs":5000000"#, r#""tickNs":1000000000"#.into()),
+        ("idle for 4 ms", r#""cancel":true"#, r#""cancel":true,"connIdleNs":4000000"#.into()),
+        ("one held", r#""cancel":true"#, r#""cancel":true,"mostHeld":1"#.into()),
+        ("no time for repeats", r#""windowNs":3000000000"#, r#""windowNs":0"#.into()),
+        ("no grace", r#""drainGraceNs":1500000000"#, r#""drainGraceNs":0"#.into()),
+        ("never cold", r#""coldNs":8800000000"#, r#""coldNs":0"#.into()),
+        ("no worth", r#""importance":1.0"#, r#""importance":0"#.into()),
+        ("300 nodes", r#""azs":["a"]"#, r#""azs":["a"],"siblings":300,"me":299"#.into()),
+        ("the least descriptors", r#""sockets":128"#, r#""sockets":32"#.into()),
+        ("the most of all", "5000000000", u64::MAX.to_string()),
+        ("the most asking", r#""coldFrom""#, format!(r#""askWithinNs":{},"coldFrom""#, u64::MAX)),
+        ("the most memory", r#""sockets":128"#, format!(r#""sockets":128,"memory_mb":{}"#, u64::MAX >> 1)),
+    ];
+    let play = |(name, old, new): &Change, mode: &str| {
+        let mut world = World::with(|config| {
+            assert!(config.contains(old), "{name}");
+            config.replace(old, new).replace("subscribe", mode)
+        });
+        // Discovery turns its first call down.
+        world.discovery.wait().send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+        let mut client = world.client();
+        client.send(&report("any", 5000));
+        let mut backend = world.backend.wait();
+        backend.expect("body");
+        backend.serve("200 OK", "served");
+        assert!(client.expect("served").starts_with("HTTP/1.1 200 "), "{name}");
+        world.terminate();
+        world.expect_log("sigterm");
+        drop((client, backend));
+        assert_eq!(world.wait_exit().code(), Some(0), "{name}");
+    };
+    // Side by side: each takes the time in which a node that ends still takes clients.
+    std::thread::scope(|scope| {
+        for change in &changes {
+            scope.spawn(|| ["subscribe", "automatic"].map(|mode| play(change, mode)));
+        }
+    });
+}
--- a/node/tests/crossings/mod.rs
+++ b/node/tests/crossings/mod.rs
@@ -267,16 +267,20 @@
 #[test]
 fn where_deadlines_are_short_the_last_answers_come_before_sigkill_may() {
     let world = World::with(|config| short(config, "150000000"));
-    let mut client = world.client();
+    let (mut client, mut held) = (world.client(), world.client());
     client.send(&report("silent", 5000));
     let mut backend = world.backend.wait();
     backend.expect("body");
+    // One that waits: there is room for one attempt.
+    held.send(&report("held", 5000));
+    world.turn();
     world.terminate();
     let since = Instant::now();
     let answer = client.expect("\r\n\r\n");
     assert!(answer.starts_with("HTTP/1.1 50") && !answer.contains(" 503 "), "{answer}");
+    assert!(held.expect("\r\n\r\n").starts_with("HTTP/1.1 503 "));
     assert!(since.elapsed() < Duration::from_millis(150 + 700), "{:?}", since.elapsed());
-    drop(client);
+    drop((client, held));
     assert_eq!(world.wait_exit().code(), Some(0));
     assert!(since.elapsed() < Duration::from_millis(150 + 700), "{:?}", since.elapsed());
 }
@@ -460,6 +464,19 @@
     flood.join().unwrap();
 }
 
+#[test]
+fn an_object_without_end_costs_the_watch_and_no_more() {
+    let mut world = World::start();
+    let mut watch = world.discovery.wait();
+    watch.send(WATCH).send(&chunk("{\"rev\":8,\"targets\":["));
+    let piece = chunk(&"1,".repeat(32 * 1024));
+    let flood = std::thread::spawn(move || while watch.try_send(&piece) {});
+    world.expect_log("discovery-failed BodyTooLarge");
+    world.discovery.wait().expect("after=7 ");
+    flood.join().unwrap();
+    serve_next(&world, "next");
+}
+
 #[test]
 fn a_list_that_is_behind_brings_no_drained_backend_back_and_a_newer_one_or_a_newer_start_does() {
     let mut world = World::start();
