--- /dev/null
+++ b/crates/fault-shim/src/lib.rs
@@ -0,0 +1,158 @@
+//! A library that tests preload (`LD_PRELOAD`) into a process of their own: chosen C library calls then fail,
+//! move less, begin late, or see a stepped wall clock, as [`plan`] describes.
+//!
+//! The plan stands in `KITEFORK_FAULTS`, the seed of its draws in `KITEFORK_FAULT_SEED`. Without a plan each
+//! call goes through unchanged. This crate is the only one of the workspace with `unsafe` code; nothing of it
+//! is part of the shipped programs.
+
+pub mod plan;
+
+use std::ffi::CStr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, OnceLock, PoisonError};
+
+use libc::{
+    c_int, c_void, clockid_t, epoll_event, nfds_t, pollfd, size_t, sockaddr, socklen_t, ssize_t, timespec,
+};
+
+use crate::plan::{Call, Fault, Plan};
+
+const PLAN_VARIABLE: &str = "KITEFORK_FAULTS";
+const SEED_VARIABLE: &str = "KITEFORK_FAULT_SEED";
+
+struct Shim {
+    plan: Mutex<Plan>,
+    started_ms: u64,
+}
+
+static SHIM: OnceLock<Option<Shim>> = OnceLock::new();
+
+/// Monotonic milliseconds, past the intercepted calls.
+fn monotonic_ms() -> u64 {
+    let mut time = timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: the kernel writes to a `timespec` of ours that outlives the call.
+    unsafe { libc::syscall(libc::SYS_clock_gettime, libc::CLOCK_MONOTONIC, &raw mut time) };
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
+/// A plan that can't be read would make a test pass for the wrong reason, so the process ends.
+fn start() -> Option<Shim> {
+    let text = std::env::var(PLAN_VARIABLE).ok()?;
+    let seed = std::env::var(SEED_VARIABLE).ok().and_then(|seed| seed.parse().ok()).unwrap_or(1);
+    match Plan::parse(&text, seed) {
+        Ok(plan) => Some(Shim { plan: Mutex::new(plan), started_ms: monotonic_ms() }),
+        Err(error) => {
+            eprintln!("{error}");
+            std::process::abort()
+        }
+    }
+}
+
+fn strike(call: Call) -> Option<Fault> {
+    let shim = SHIM.get_or_init(start).as_ref()?;
+    let elapsed = monotonic_ms().saturating_sub(shim.started_ms);
+    // A signal handler may come here while the lock is held by its own thread: its call goes through.
+    let mut plan = match shim.plan.try_lock() {
+        Ok(plan) => plan,
+        Err(std::sync::TryLockError::Poisoned(poisoned)) => PoisonError::into_inner(poisoned),
+        Err(std::sync::TryLockError::WouldBlock) => return None,
+    };
+    plan.strike(call, elapsed)
+}
+
+/// The next definition of a symbol behind this library's own; looked up once.
+fn next(cache: &AtomicUsize, name: &CStr) -> usize {
+    let known = cache.load(Ordering::Relaxed);
+    if known != 0 {
+        return known;
+    }
+    // SAFETY: `name` ends with a zero byte, and the C library is loaded for as long as the process runs.
+    let found = unsafe { libc::dlsym(libc::RTLD_NEXT, name.as_ptr()) } as usize;
+    cache.store(found, Ordering::Relaxed);
+    found
+}
+
+fn fail(errno: c_int) {
+    // SAFETY: the address is this thread's own errno.
+    unsafe { *libc::__errno_location() = errno };
+}
+
+fn sleep(ms: u64) {
+    let time = timespec { tv_sec: (ms / 1_000) as i64, tv_nsec: (ms % 1_000) as i64 * 1_000_000 };
+    // SAFETY: the kernel reads a `timespec` of ours that outlives the call.
+    unsafe { libc::syscall(libc::SYS_nanosleep, &raw const time, std::ptr::null_mut::<timespec>()) };
+}
+
+/// Defines a call that a plan may strike. The last argument names the length that `short` cuts, if it has one.
+macro_rules! intercept {
+    ($call:expr, $name:literal, fn $function:ident($($argument:ident: $type:ty),*) -> $result:ty $(, $length:ident)?) => {
+        /// Intercepted; behaves as the C library's function unless the plan strikes.
+        ///
+        /// # Safety
+        ///
+        /// As the C library's function of this name.
+        #[unsafe(no_mangle)]
+        pub unsafe extern "C" fn $function($($argument: $type),*) -> $result {
+            static NEXT: AtomicUsize = AtomicUsize::new(0);
+            match strike($call) {
+                Some(Fault::Errno(errno)) => {
+                    fail(errno);
+                    return -1;
+                }
+                Some(Fault::Short) => {
+                    $(let $length = $length.min(1);)?
+                    // SAFETY: as below.
+                    return unsafe {
+                        std::mem::transmute::<usize, unsafe extern "C" fn($($type),*) -> $result>(
+                            next(&NEXT, $name))($($argument),*)
+                    };
+                }
+                Some(Fault::Sleep(ms)) => sleep(ms),
+                Some(Fault::Step(_)) | None => {}
+            }
+            // SAFETY: the symbol is the C library's function of this name and has its type; the arguments are
+            // the caller's, which holds to that function's contract.
+            unsafe {
+                std::mem::transmute::<usize, unsafe extern "C" fn($($type),*) -> $result>(
+                    next(&NEXT, $name))($($argument),*)
+            }
+        }
+    };
+}
+
+intercept!(Call::Accept, c"accept", fn accept(fd: c_int, address: *mut sockaddr, length: *mut socklen_t) -> c_int);
+intercept!(Call::Accept, c"accept4",
+    fn accept4(fd: c_int, address: *mut sockaddr, length: *mut socklen_t, flags: c_int) -> c_int);
+intercept!(Call::Socket, c"socket", fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int);
+intercept!(Call::Connect, c"connect", fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int);
+intercept!(Call::Send, c"send",
+    fn send(fd: c_int, bytes: *const c_void, length: size_t, flags: c_int) -> ssize_t, length);
+intercept!(Call::Recv, c"recv",
+    fn recv(fd: c_int, bytes: *mut c_void, length: size_t, flags: c_int) -> ssize_t, length);
+intercept!(Call::EpollCtl, c"epoll_ctl",
+    fn epoll_ctl(epoll: c_int, operation: c_int, fd: c_int, event: *mut epoll_event) -> c_int);
+intercept!(Call::EpollWait, c"epoll_wait",
+    fn epoll_wait(epoll: c_int, events: *mut epoll_event, most: c_int, timeout: c_int) -> c_int);
+intercept!(Call::EpollWait, c"epoll_pwait2",
+    fn epoll_pwait2(epoll: c_int, events: *mut epoll_event, most: c_int, timeout: *const timespec,
+        mask: *const libc::sigset_t) -> c_int);
+intercept!(Call::Poll, c"poll", fn poll(entries: *mut pollfd, count: nfds_t, timeout: c_int) -> c_int);
+
+/// Intercepted: the wall clock is off by what the plan says; other clocks are untouched.
+///
+/// # Safety
+///
+/// As the C library's function of this name.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
+    // SAFETY: the caller's pointer is valid for one `timespec`.
+    let result = unsafe { libc::syscall(libc::SYS_clock_gettime, clock, time) } as c_int;
+    if result == 0
+        && clock == libc::CLOCK_REALTIME
+        && let Some(Fault::Step(seconds)) = strike(Call::Clock)
+    {
+        // SAFETY: as above.
+        unsafe { (*time).tv_sec += seconds };
+    }
+    result
+}
--- /dev/null
+++ b/crates/fault-shim/src/plan.rs
@@ -0,0 +1,211 @@
+//! The fault plan: which calls fail, how, and how often. Pure text and arithmetic, no system calls.
+//!
+//! A plan is a list of rules separated by `;`. A rule is `CALL=FAULT` followed by options separated by `,`:
+//!
+//! | part | values |
+//! | --- | --- |
+//! | `CALL` | `accept`, `socket`, `connect`, `send`, `recv`, `epoll_ctl`, `epoll_wait`, `poll`, `clock` |
+//! | `FAULT` | an errno by name, `short` (one byte), `sleep:MS`, or, for `clock`, `step:SECONDS` |
+//! | `every:N` | the rule strikes each N-th call (default 1) |
+//! | `chance:P` | instead, the rule strikes with probability P, drawn from the plan's seed |
+//! | `from:MS`, `to:MS` | the rule is in force in this span since the start of the process |
+//!
+//! Example: `accept=ENFILE,every:5;clock=step:3600,from:2000`.
+
+use std::fmt;
+
+/// An intercepted call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// `accept` and `accept4`.
+    Accept,
+    /// `socket`.
+    Socket,
+    /// `connect`.
+    Connect,
+    /// `send`.
+    Send,
+    /// `recv`.
+    Recv,
+    /// `epoll_ctl`.
+    EpollCtl,
+    /// `epoll_wait` and `epoll_pwait2`.
+    EpollWait,
+    /// `poll`.
+    Poll,
+    /// `clock_gettime` of `CLOCK_REALTIME`.
+    Clock,
+}
+
+/// What happens to a struck call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// It returns -1 with this errno.
+    Errno(i32),
+    /// It moves one byte at most.
+    Short,
+    /// It begins this many milliseconds later.
+    Sleep(u64),
+    /// The clock is off by this many seconds.
+    Step(i64),
+}
+
+/// One rule of a plan.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rule {
+    /// The call that it strikes.
+    pub call: Call,
+    /// How.
+    pub fault: Fault,
+    every: u64,
+    chance: Option<f64>,
+    from_ms: u64,
+    to_ms: u64,
+    seen: u64,
+}
+
+/// Why a plan can't be read.
+#[derive(Debug, PartialEq, Eq)]
+pub struct PlanError(String);
+
+impl fmt::Display for PlanError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "fault plan: {}", self.0)
+    }
+}
+
+impl std::error::Error for PlanError {}
+
+/// A fault plan and the state of its draws.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    rules: Vec<Rule>,
+    random: u64,
+}
+
+/// Multiplier and increment of the linear congruential generator of Knuth's MMIX.
+const LCG_MULTIPLIER: u64 = 6_364_136_223_846_793_005;
+const LCG_INCREMENT: u64 = 1_442_695_040_888_963_407;
+
+impl Plan {
+    /// Reads a plan; `seed` decides the draws of rules with a chance.
+    ///
+    /// # Errors
+    ///
+    /// Names the part that is unknown.
+    pub fn parse(text: &str, seed: u64) -> Result<Plan, PlanError> {
+        let rules = text.split(';').map(str::trim).filter(|rule| !rule.is_empty()).map(parse_rule);
+        Ok(Plan { rules: rules.collect::<Result<_, _>>()?, random: seed })
+    }
+
+    /// The fault of a call that is made `elapsed_ms` after the start of the process, if a rule strikes it.
+    pub fn strike(&mut self, call: Call, elapsed_ms: u64) -> Option<Fault> {
+        let random = &mut self.random;
+        let in_force =
+            |rule: &&mut Rule| rule.call == call && (rule.from_ms..rule.to_ms).contains(&elapsed_ms);
+        let mut struck = None;
+        for rule in self.rules.iter_mut().filter(in_force) {
+            if rule.strikes(random) {
+                struck = struck.or(Some(rule.fault));
+            }
+        }
+        struck
+    }
+}
+
+impl Rule {
+    fn strikes(&mut self, random: &mut u64) -> bool {
+        self.seen += 1;
+        match self.chance {
+            Some(chance) => draw(random) < chance,
+            None => self.seen.is_multiple_of(self.every),
+        }
+    }
+}
+
+/// A draw from [0, 1).
+fn draw(random: &mut u64) -> f64 {
+    *random = random.wrapping_mul(LCG_MULTIPLIER).wrapping_add(LCG_INCREMENT);
+    (*random >> 11) as f64 / (1u64 << 53) as f64
+}
+
+fn parse_rule(text: &str) -> Result<Rule, PlanError> {
+    let unknown = |part: &str| PlanError(format!("`{part}` in `{text}`"));
+    let (head, options) = text.split_once(',').unwrap_or((text, ""));
+    let (call, fault) = head.split_once('=').ok_or_else(|| unknown(head))?;
+    let mut rule = Rule {
+        call: parse_call(call).ok_or_else(|| unknown(call))?,
+        fault: parse_fault(fault).ok_or_else(|| unknown(fault))?,
+        every: 1,
+        chance: None,
+        from_ms: 0,
+        to_ms: u64::MAX,
+        seen: 0,
+    };
+    for option in options.split(',').filter(|option| !option.is_empty()) {
+        let (name, value) = option.split_once(':').ok_or_else(|| unknown(option))?;
+        let whole = || value.parse::<u64>().map_err(|_| unknown(option));
+        match name {
+            "every" => rule.every = whole()?.max(1),
+            "chance" => rule.chance = Some(value.parse().map_err(|_| unknown(option))?),
+            "from" => rule.from_ms = whole()?,
+            "to" => rule.to_ms = whole()?,
+            _ => return Err(unknown(option)),
+        }
+    }
+    Ok(rule)
+}
+
+fn parse_call(text: &str) -> Option<Call> {
+    Some(match text {
+        "accept" => Call::Accept,
+        "socket" => Call::Socket,
+        "connect" => Call::Connect,
+        "send" => Call::Send,
+        "recv" => Call::Recv,
+        "epoll_ctl" => Call::EpollCtl,
+        "epoll_wait" => Call::EpollWait,
+        "poll" => Call::Poll,
+        "clock" => Call::Clock,
+        _ => return None,
+    })
+}
+
+fn parse_fault(text: &str) -> Option<Fault> {
+    if let Some(ms) = text.strip_prefix("sleep:") {
+        return ms.parse().ok().map(Fault::Sleep);
+    }
+    if let Some(seconds) = text.strip_prefix("step:") {
+        return seconds.parse().ok().map(Fault::Step);
+    }
+    if text == "short" {
+        return Some(Fault::Short);
+    }
+    errno(text).map(Fault::Errno)
+}
+
+/// The errno values that `accept(2)`, `socket(2)`, `connect(2)`, `send(2)`, `recv(2)` and `epoll(7)` document.
+fn errno(name: &str) -> Option<i32> {
+    Some(match name {
+        "EINTR" => libc::EINTR,
+        "EAGAIN" => libc::EAGAIN,
+        "ENOMEM" => libc::ENOMEM,
+        "ENFILE" => libc::ENFILE,
+        "EMFILE" => libc::EMFILE,
+        "ENOSPC" => libc::ENOSPC,
+        "ENOBUFS" => libc::ENOBUFS,
+        "EPROTO" => libc::EPROTO,
+        "EPERM" => libc::EPERM,
+        "ENETDOWN" => libc::ENETDOWN,
+        "ENETUNREACH" => libc::ENETUNREACH,
+        "EHOSTDOWN" => libc::EHOSTDOWN,
+        "EHOSTUNREACH" => libc::EHOSTUNREACH,
+        "EADDRNOTAVAIL" => libc::EADDRNOTAVAIL,
+        "ECONNABORTED" => libc::ECONNABORTED,
+        "ECONNREFUSED" => libc::ECONNREFUSED,
+        "ECONNRESET" => libc::ECONNRESET,
+        "ETIMEDOUT" => libc::ETIMEDOUT,
+        "EPIPE" => libc::EPIPE,
+        _ => return None,
+    })
+}
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod crossings;
+mod terms;
 
 use common::{
     HEALTH, Party, WATCH, World, and, changes, chunk, entry, more_changes, report, run, slow_to_connect,
