The time told is what is left at the first byte, by one module that decides sends and closes

Cause: Call::bytes was fixed in start_fetch, before the connect; Session::parse began the count when it parsed; what lay in the kernel was not counted. Class: a time that is reckoned before the act that it belongs to. Change: node/src/rules.rs decides whether an attempt may start, its first byte be written, a request be refused and a connection be closed; a WritePermit is made there only, from a fresh reading of the clock right before the first byte, and carries the time that may be told. Bytes count from the last time at which their socket was seen empty (Arrival; the accept queue likewise), for which the loop looks at least each 50 ms. Denials, closes by reason and violations are counted (counters.rs, log word `counts`); debug builds panic at a violation. Siblings looked at: retries, pooled connections, connects, accept queue, messages behind another.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -12,6 +12,7 @@
 use crate::net;
 use crate::req::{Ask, Synthetic};
 use crate::ring::{Body, Budget, Read, Ring};
+use crate::rules::CloseFacts;
 use crate::wheel::Deadline;
 
 /// A session that has never asked, or whose head is not whole, ends after this time: it may be one of
@@ -74,23 +75,61 @@
     heard: Nanos,
     /// How many whole messages it has had.
     asked: u32,
+    arrival: Arrival,
     pub deadline: Deadline,
     pub interest: EventFlags,
 }
 
+/// When bytes of a session can have come at the earliest. The kernel does not say when they came, so that is
+/// the last time at which its socket was seen empty. What came while the process stood still counts from there.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    /// When the socket was last read empty.
+    emptied: Nanos,
+    /// Since when an event is given for what comes; before that an empty look says nothing of this socket.
+    watched: Nanos,
+    /// More may lie in the socket than was read.
+    unread: bool,
+    /// When the first byte of the inbox can have come at the earliest.
+    oldest: Nanos,
+}
+
+/// A gap between two looks up to this long is the loop's own: it waits no longer, and what comes wakes it.
+/// It is within the slack of the time told to backends.
+const UNNOTICED: Nanos = 80 * MS;
+
+impl Arrival {
+    fn new(now: Nanos, queued: Nanos) -> Arrival {
+        Arrival { emptied: queued, watched: now, unread: false, oldest: now }
+    }
+
+    fn emptied(&mut self, now: Nanos) {
+        (self.emptied, self.unread) = (now, false);
+    }
+
+    fn of_bytes_read_at(&self, now: Nanos, looked: Nanos) -> Nanos {
+        let seen_by_loop = !self.unread && looked >= self.watched;
+        let empty = if seen_by_loop { self.emptied.max(looked) } else { self.emptied };
+        if now.saturating_sub(empty) > UNNOTICED { empty } else { now }
+    }
+}
+
 /// What reading a session came to.
 pub enum Intake {
     /// Nothing whole yet.
     Wait,
-    /// A whole message, and when its first byte came.
+    /// A whole message, and when its first byte can have come at the earliest.
     Message(Head, Body, Nanos),
     Bad(Bad),
-    /// The client has left.
-    Gone,
+    /// The client has ended its sending.
+    Ended,
+    /// The connection has broken.
+    Broken,
 }
 
 impl Session {
-    pub fn new(socket: OwnedFd, now: Nanos, interest: EventFlags, budget: &Budget) -> Session {
+    /// A connection that was accepted at `now`, and at `queued` at the earliest had come to be.
+    pub fn new(socket: OwnedFd, now: Nanos, queued: Nanos, interest: EventFlags, budget: &Budget) -> Session {
         Session {
             socket,
             // An answer, its head, and a word of leave before it.
@@ -106,6 +145,7 @@
             since: now,
             heard: now,
             asked: 0,
+            arrival: Arrival::new(now, queued),
             deadline: Deadline::new(),
             interest,
         }
@@ -187,8 +227,10 @@
     }
 
     /// Reads what has come, up to a whole message. While a req is under way or an answer is not written, what
-    /// comes waits in the ring.
-    pub fn read(&mut self, now: Nanos) -> Intake {
+    /// comes waits in the ring. `looked` is when the loop last saw all sockets without an event.
+    pub fn read(&mut self, now: Nanos, looked: Nanos) -> Intake {
+        let came = self.arrival.of_bytes_read_at(now, looked);
+        let mut fresh = false;
         loop {
             if self.phase == Phase::Open
                 && self.req.is_none()
@@ -196,10 +238,15 @@
                 && let Some(intake) = self.parse(now)
             {
                 if matches!(intake, Intake::Message(..)) {
-                    self.look_behind();
+                    // What lies behind a message that has only now become whole came with its end.
+                    if fresh {
+                        self.arrival.oldest = came;
+                    }
+                    self.look_behind(now, came);
                 }
                 return intake;
             }
+            let was_empty = self.inbox.is_empty();
             match self.inbox.read_from(&self.socket) {
                 // One piece a round: a client that never stops must not hold the loop.
                 Read::Some if self.phase != Phase::Open => {
@@ -207,26 +254,55 @@
                     self.inbox.consume(count);
                     return Intake::Wait;
                 }
-                Read::Some => self.heard = now,
-                Read::Dry | Read::Full => return Intake::Wait,
-                Read::End | Read::Broken => return Intake::Gone,
+                Read::Some => {
+                    self.heard = now;
+                    fresh = true;
+                    if was_empty {
+                        self.arrival.oldest = came;
+                    }
+                }
+                Read::Dry => {
+                    self.arrival.emptied(now);
+                    return Intake::Wait;
+                }
+                Read::Full => {
+                    self.arrival.unread = true;
+                    return Intake::Wait;
+                }
+                Read::End => return Intake::Ended,
+                Read::Broken => return Intake::Broken,
             }
         }
     }
 
     /// Looks whether the client has left behind its message, as it may have while that waited in the accept
     /// queue, in a buffer or through a stall.
-    fn look_behind(&mut self) {
+    fn look_behind(&mut self, now: Nanos, came: Nanos) {
         self.left |= loop {
+            if self.inbox.is_empty() {
+                self.arrival.oldest = came;
+            }
             match self.inbox.read_from(&self.socket) {
                 Read::Some => {}
-                Read::Dry => break false,
-                Read::Full => break net::has_left(&self.socket),
+                Read::Dry => {
+                    self.arrival.emptied(now);
+                    break false;
+                }
+                Read::Full => {
+                    self.arrival.unread = true;
+                    break net::has_left(&self.socket);
+                }
                 Read::End | Read::Broken => break true,
             }
         };
     }
 
+    /// What decides whether it may be closed for a reason of the node's own.
+    pub fn close_facts(&self) -> CloseFacts {
+        let answer_owed = self.req.is_some() || !self.outbox.is_empty();
+        CloseFacts { answer_owed, unread: self.has_unread() || self.has_next() }
+    }
+
     /// Bytes have come, maybe of a request, that nobody has read.
     pub fn has_unread(&self) -> bool {
         let mut byte = [0];
@@ -251,12 +327,20 @@
         }
     }
 
+    /// From `now` on, events are given for what comes, or no longer.
+    pub fn set_interest(&mut self, interest: EventFlags, now: Nanos) {
+        if interest.contains(EventFlags::IN) && !self.interest.contains(EventFlags::IN) {
+            self.arrival.watched = now;
+        }
+        self.interest = interest;
+    }
+
     fn parse(&mut self, now: Nanos) -> Option<Intake> {
         if self.inbox.is_empty() {
             return None;
         }
         if self.began.is_none() {
-            self.began = Some(now);
+            self.began = Some(self.arrival.oldest);
             self.since = if self.asked > 0 { now } else { self.since };
         }
         let used = match self.parser.feed(self.inbox.bytes()) {
@@ -347,10 +431,10 @@
         self.head.one("idempotency-key").ok().flatten().unwrap_or("-")
     }
 
-    /// The bytes for a backend that has `left` to answer.
-    pub fn bytes(&self, left: Nanos) -> Vec<u8> {
+    /// The bytes for a backend that has `left_ms` milliseconds to answer.
+    pub fn bytes(&self, left_ms: u64) -> Vec<u8> {
         let Start::Request { method, target } = &self.head.start else { return Vec::new() };
-        let left = (left / MS).to_string();
+        let left = left_ms.to_string();
         let headers = self.head.end_to_end().filter(|(name, _)| *name != "x-remaining-ms");
         // A client of HTTP/1.0 need not name a host; backends speak 1.1.
         let host = self.head.one("host").is_ok_and(|host| host.is_none()).then_some(("host", "kitefork"));
@@ -458,7 +542,7 @@
     fn a_req_keeps_what_is_the_clients_and_counts_its_time_from_the_first_byte() {
         let Route::Req(ask, call) = routed(GOOD) else { panic!("not a req") };
         assert_eq!((ask.class, ask.tenant, ask.patience, ask.work_hint), (0, 0, 450 * MS, Some(1_500_000)));
-        let bytes = String::from_utf8(call.bytes(449 * MS + 999)).unwrap();
+        let bytes = String::from_utf8(call.bytes(449)).unwrap();
         assert!(bytes.starts_with("POST /api?a=b HTTP/1.1\r\nhost: h\r\nx-txn: 1f\r\n"), "{bytes}");
         for part in
             ["\r\nx-remaining-ms: 449\r\n", "\r\nidempotency-key: k\r\n", "content-length: 2\r\n\r\nhi"]
@@ -498,9 +582,9 @@
         let (family, kind, flags) = (AddressFamily::UNIX, SocketType::STREAM, SocketFlags::NONBLOCK);
         let (near, far) = socketpair(family, kind, flags, None).unwrap();
         let mut far = std::os::unix::net::UnixStream::from(far);
-        let mut session = Session::new(near, 0, EventFlags::IN, &Budget::default());
+        let mut session = Session::new(near, 0, 0, EventFlags::IN, &Budget::default());
         far.write_all(GOOD.as_bytes()).unwrap();
-        assert!(matches!(session.read(0), Intake::Message(..)));
+        assert!(matches!(session.read(0, 0), Intake::Message(..)));
         session.answer(0, 200, &[], b"hi", false);
         assert!(session.flush(0) && far.read(&mut [0; 256]).unwrap() > 0);
         far.write_all(GOOD.as_bytes()).unwrap();
--- /dev/null
+++ b/node/src/counters.rs
@@ -0,0 +1,68 @@
+//! Counts of what the node has done, by reason: what operators read when they ask why requests were refused,
+//! retried or given up. Kept for the whole life of the process; bounded, as each key is a word of the code.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Why a client connection was closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CloseReason {
+    /// Its client ended it.
+    ClientGone,
+    /// It broke: a reset, or a write that failed for good.
+    Broken,
+    /// Its last answer is written.
+    Answered,
+    /// Its descriptor was needed for another connection.
+    Evicted,
+    /// It asked nothing for too long, or took too long over a message or an answer.
+    TimedOut,
+    /// The node ends.
+    Shutdown,
+}
+
+impl CloseReason {
+    /// The word in logs and counts.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::ClientGone => "client_gone",
+            CloseReason::Broken => "broken",
+            CloseReason::Answered => "answered",
+            CloseReason::Evicted => "evicted",
+            CloseReason::TimedOut => "timed_out",
+            CloseReason::Shutdown => "shutdown",
+        }
+    }
+}
+
+/// Counts by kind and reason.
+#[derive(Debug, Default)]
+pub struct Counters {
+    counts: BTreeMap<(&'static str, &'static str), u64>,
+}
+
+impl Counters {
+    /// Counts one event of a kind and reason.
+    pub fn add(&mut self, kind: &'static str, reason: &'static str) {
+        *self.counts.entry((kind, reason)).or_default() += 1;
+    }
+
+    /// Counts a closed client connection.
+    pub fn closed(&mut self, reason: CloseReason) {
+        self.add("closed", reason.name());
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (place, ((kind, reason), count)) in self.counts.iter().enumerate() {
+            let space = if place == 0 { "" } else { " " };
+            write!(f, "{space}{kind}.{reason}={count}")?;
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+#[path = "counters_tests.rs"]
+mod tests;
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -30,7 +30,9 @@
 pub enum Phase {
     /// The connection is not up.
     Connecting,
-    /// Up, and the request is not written whole.
+    /// Up, and nothing of the request is written: that takes a permit.
+    Connected,
+    /// The request is not written whole.
     Sending,
     /// All is written: the backend may be at work.
     Waiting,
@@ -65,6 +67,8 @@
 /// What has become of a fetch.
 pub enum Progress {
     Going,
+    /// The connection is up; the request is to be begun.
+    Connected,
     /// A whole answer.
     Answered(Head, Body, Reuse),
     Failed(Outcome),
@@ -90,11 +94,23 @@
         }
     }
 
+    /// It carries an attempt of this request that is not written whole, and so never ran.
+    pub fn is_unwritten_of(&self, req: u32) -> bool {
+        matches!(self.job, Some(Job::Req { req: its, .. }) if its == req) && self.phase != Phase::Waiting
+    }
+
     /// How an attempt ends that is broken off now: what is not written whole never ran.
     pub fn broken(&self, after: Outcome) -> Outcome {
         if self.phase == Phase::Waiting { after } else { Outcome::ConnectFailed }
     }
 
+    /// Begins the request; `false` where it is too long for the outbox.
+    #[must_use]
+    pub fn begin(&mut self, bytes: &[u8]) -> bool {
+        self.phase = Phase::Sending;
+        self.outbox.push(bytes)
+    }
+
     /// Goes on after the socket has become ready, or a request has been put in the outbox.
     pub fn go_on(&mut self, ready: bool) -> Progress {
         if self.phase == Phase::Connecting {
@@ -102,10 +118,13 @@
                 return Progress::Going;
             }
             match sockopt::socket_error(&self.socket) {
-                Ok(Ok(())) => self.phase = Phase::Sending,
+                Ok(Ok(())) => self.phase = Phase::Connected,
                 _ => return Progress::Failed(Outcome::ConnectFailed),
             }
         }
+        if self.phase == Phase::Connected {
+            return Progress::Connected;
+        }
         let broken = self.phase == Phase::Sending && self.outbox.write_to(&self.socket).is_err();
         if self.phase == Phase::Sending && self.outbox.is_empty() {
             self.phase = Phase::Waiting;
@@ -257,7 +276,7 @@
         let found = match fetch.go_on(true) {
             Progress::Answered(head, _, reuse) => Ok((outcome(&head), reuse)),
             Progress::Failed(outcome) => Err(outcome),
-            Progress::Going | Progress::Stale(_) => panic!("not ended"),
+            Progress::Going | Progress::Connected | Progress::Stale(_) => panic!("not ended"),
         };
         drop(far);
         found
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod clock;
 mod config;
+mod counters;
 mod discovery;
 mod fetch;
 mod http1;
@@ -15,6 +16,7 @@
 mod node;
 mod req;
 mod ring;
+mod rules;
 mod slots;
 mod wheel;
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -19,6 +19,7 @@
 use crate::client::{self, Session};
 use crate::clock::{Clock, MS, SECOND};
 use crate::config::Config;
+use crate::counters::Counters;
 use crate::discovery::{Age, Call, Fleet};
 use crate::fetch::{Fetch, Job, Pool};
 use crate::ledger::{Ledger, Purpose};
@@ -26,11 +27,17 @@
 use crate::net;
 use crate::req::{Order, Reqs};
 use crate::ring::Budget;
+use crate::rules::{Denial, Violation};
 use crate::slots::Slots;
 use crate::wheel::Wheel;
 
 /// A probe that has no answer by then has failed.
 const PROBE_PATIENCE: Nanos = 500 * MS;
+/// The loop looks at all sockets at least this often, so that it knows within this time since when a socket
+/// that now holds bytes can have held them.
+const LONGEST_WAIT: Nanos = 50 * MS;
+/// A gap between two looks that only a process that was stopped has.
+const STOPPED: Nanos = 250 * MS;
 /// A loop that wakes so much later than it wanted to has been stopped meanwhile.
 const LATE: Nanos = 50 * MS;
 /// What hangs on the wheel.
@@ -78,6 +85,12 @@
 pub struct Node {
     clock: Clock,
     now: Nanos,
+    /// When the look before this turn's found no event on the sockets that have one now.
+    looked: Nanos,
+    /// When the accept queue was last read empty, and since when an event is given for a client that comes.
+    queue_emptied: Nanos,
+    queue_watched: Nanos,
+    counters: Counters,
     wheel: Wheel<Due>,
     epoll: OwnedFd,
     log: Log,
@@ -150,6 +163,10 @@
         let mut node = Node {
             wheel: Wheel::new(tick, now),
             now,
+            looked: now,
+            queue_emptied: now,
+            queue_watched: now,
+            counters: Counters::default(),
             clock,
             epoll,
             log: Log::default(),
@@ -190,16 +207,18 @@
     /// Runs until a SIGTERM has been followed to its end.
     pub fn run(mut self) -> Result<(), String> {
         let (mut events, mut looked_again) = (Vec::new(), false);
+        // Of this turn's look; the next turn's sockets with an event were without one then.
+        let mut look = self.now;
         while !self.is_over() {
-            let wake = self.wheel.next();
-            let pause = wake.map(|at| at.saturating_sub(self.clock.read()));
-            let pause =
-                pause.map(|ns| Timespec { tv_sec: (ns / SECOND) as i64, tv_nsec: (ns % SECOND) as i64 });
+            let began = self.clock.read();
+            let wake = self.wheel.next().unwrap_or(Nanos::MAX).min(began.saturating_add(LONGEST_WAIT));
+            let pause = wake.saturating_sub(began);
+            let pause = Timespec { tv_sec: (pause / SECOND) as i64, tv_nsec: (pause % SECOND) as i64 };
             events.clear();
             // All that is ready in one look: a deadline must not fire, and nothing must be sent, while an
             // answer, a client's leave or a drain still waits for the next one, as after a stall.
             events.reserve(self.sessions.len() + self.fetches.len() + self.calls.len() + 4);
-            match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), pause.as_ref()) {
+            match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), Some(&pause)) {
                 Ok(_) => {}
                 // A process that was stopped and goes on comes here too: much may lie in its sockets, and no
                 // deadline may fire before that is read.
@@ -207,8 +226,11 @@
                 Err(error) => return Err(format!("epoll: {error}")),
             }
             self.now = self.clock.read();
+            self.looked = look;
+            // A process that stood still in its wait may have looked before that.
+            look = if self.now > wake.saturating_add(LATE) { began } else { self.now };
             // Stopped between the wait and the clock: what looked quiet may be so no longer.
-            if events.is_empty() && !looked_again && wake.is_some_and(|at| self.now > at + LATE) {
+            if events.is_empty() && !looked_again && self.now > wake.saturating_add(LATE) {
                 looked_again = true;
                 continue;
             }
@@ -228,10 +250,25 @@
                 self.settle();
             }
         }
+        self.log.line(self.now, "counts", &self.counters);
         self.log.line(self.now, "end", "all answered");
         Ok(())
     }
 
+    /// Counts what the rules did not allow.
+    fn count_denial(&mut self, denial: Denial, of: std::fmt::Arguments) {
+        self.counters.add("denied", denial.name());
+        self.trace.line(self.now, format_args!("denied why={denial} {of}"));
+    }
+
+    /// A rule was found broken after the act: a fault of the program.
+    fn violated(&mut self, violation: Violation, of: std::fmt::Arguments) {
+        self.counters.add("violation", violation.name());
+        self.log.line(self.now, "violation", format_args!("rule={} {of}", violation.name()));
+        // A process that was stopped can't act in time.
+        debug_assert!(self.now > self.looked.saturating_add(STOPPED), "rule broken: {violation:?} {of}");
+    }
+
     fn is_draining(&self) -> bool {
         self.ends.is_some()
     }
@@ -296,6 +333,12 @@
 
     /// Does what has been decided, in order. Doing it may lead to more.
     fn carry_out(&mut self) {
+        while let Some(denial) = self.reqs.denials.pop() {
+            self.count_denial(denial, format_args!("at=start"));
+        }
+        while let Some(violation) = self.reqs.violations.pop() {
+            self.violated(violation, format_args!("at=answer"));
+        }
         while let Some(order) = self.reqs.orders.pop_front() {
             match order {
                 Order::Fetch { req, attempt, backend, until, write_by } => {
--- a/node/src/node/end.rs
+++ b/node/src/node/end.rs
@@ -6,6 +6,8 @@
 use super::{Due, Node};
 use crate::client::Session;
 use crate::clock::{MS, SECOND};
+use crate::counters::CloseReason;
+use crate::rules::ClosePermit;
 
 /// New connections are still taken for this long after SIGTERM: the front does not know yet ...
 const ACCEPT_ON: Nanos = 600 * MS;
@@ -48,7 +50,7 @@
             // A request that has come while nobody looked is served, not cut off.
             self.read_session(number);
             if self.sessions.get(number).is_some_and(Session::is_idle) {
-                self.close_session(number);
+                self.close_session(number, ClosePermit::nothing_owed(), CloseReason::Shutdown);
             }
         }
     }
@@ -70,7 +72,7 @@
         self.quit = true;
         let numbers: Vec<u32> = self.sessions.iter().map(|(number, _)| number).collect();
         for number in numbers {
-            self.close_session(number);
+            self.close_session(number, ClosePermit::nothing_owed(), CloseReason::Shutdown);
         }
     }
 }
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -6,11 +6,16 @@
 
 use super::{BOTH, Due, FETCH, Node, READ, token};
 use crate::client::HARDLY_MISSED;
+use crate::clock::MS;
 use crate::fetch::{self, Fetch, Job, Progress, Reuse};
 use crate::http1;
 use crate::ledger::Purpose;
 use crate::net;
 use crate::ring::Body;
+use crate::rules::{self, Denial, WriteFacts};
+
+/// A turn of the loop that has lasted longer than this has old news of its clients.
+const LONG_TURN: Nanos = 5 * MS;
 
 impl Node {
     pub(super) fn start_fetch(&mut self, backend: BackendId, job: Job, until: Nanos, write_by: Nanos) {
@@ -20,27 +25,72 @@
         {
             return self.report(job, Outcome::Moot, None);
         }
-        let bytes = match job {
-            Job::Probe { .. } => http1::write("GET /ping HTTP/1.1", [("host", "kitefork")], None),
-            Job::Req { req, .. } => match self.reqs.cargo(req) {
-                Some(call) => call.bytes(until.saturating_sub(self.now)),
-                None => return,
-            },
-        };
         let number = match self.connection(backend) {
             Ok(number) => number,
             Err(outcome) => return self.report(job, outcome, None),
         };
         let connect_timeout = self.deployment.connect_timeout;
         let Some(fetch) = self.fetches.get_mut(number) else { return };
-        let fits = fetch.outbox.push(&bytes);
         (fetch.job, fetch.until, fetch.write_by) = (Some(job), until, write_by);
         let by = match fetch.phase {
             fetch::Phase::Connecting => until.min(write_by).min(self.now.saturating_add(connect_timeout)),
             _ => until.min(write_by),
         };
         fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
-        if fits { self.go_on(number, false) } else { self.end_fetch(number, Outcome::ConnectFailed) }
+        self.go_on(number, false);
+    }
+
+    /// Begins the request of a connection that is up, if the rules still allow it by a fresh reading of the
+    /// clock and of the client's connection.
+    fn begin_request(&mut self, number: u32) {
+        let now = self.clock.read();
+        let Some(fetch) = self.fetches.get(number) else { return };
+        let Some(job) = fetch.job else { return };
+        let (until, write_by, backend) = (fetch.until, fetch.write_by, fetch.backend);
+        let facts = WriteFacts {
+            answered: matches!(job, Job::Req { req, .. } if !self.reqs.waits(req)),
+            client_gone: matches!(job, Job::Req { req, .. } if self.client_is_gone(req, now)),
+            backend_ready: self.fleet.endpoint(backend).is_some(),
+            until,
+            write_by,
+        };
+        let permit = match rules::may_write(now, &facts) {
+            Ok(permit) => permit,
+            Err(denial) => return self.deny_write(number, denial),
+        };
+        let bytes = match job {
+            Job::Probe { .. } => http1::write("GET /ping HTTP/1.1", [("host", "kitefork")], None),
+            Job::Req { req, .. } => match self.reqs.cargo(req) {
+                Some(call) => call.bytes(permit.told_ms()),
+                None => return,
+            },
+        };
+        let Some(fetch) = self.fetches.get_mut(number) else { return };
+        if !fetch.begin(&bytes) {
+            return self.end_fetch(number, Outcome::ConnectFailed);
+        }
+        self.go_on(number, false);
+        if let Err(violation) = permit.check(self.clock.read()) {
+            self.violated(violation, format_args!("fetch={number}"));
+        }
+    }
+
+    /// Whether the client of a request has left. Its connection is looked at anew where this turn has lasted.
+    fn client_is_gone(&self, req: u32, now: Nanos) -> bool {
+        let session = self.reqs.owner(req).and_then(|owner| self.sessions.get(owner));
+        session.is_none_or(|session| {
+            session.left || (now.saturating_sub(self.now) > LONG_TURN && net::has_left(&session.socket))
+        })
+    }
+
+    /// Ends an attempt of which nothing has been written, and which must not be.
+    fn deny_write(&mut self, number: u32, denial: Denial) {
+        self.count_denial(denial, format_args!("fetch={number}"));
+        let outcome = match denial {
+            Denial::BackendNotReady | Denial::DeadlinePassed | Denial::WindowClosed => Outcome::ConnectFailed,
+            _ => Outcome::Moot,
+        };
+        self.end_fetch(number, outcome);
     }
 
     /// A connection to a backend: the newest idle one that is sound, or a new one. Without a descriptor for
@@ -53,7 +103,7 @@
             self.pool.note(sound, self.now);
             // After a stall the wheel has not yet told that it stands idle for too long.
             if self.now < fetch.until && sound == Reuse::Yes {
-                fetch.phase = fetch::Phase::Sending;
+                fetch.phase = fetch::Phase::Connected;
                 return Ok(number);
             }
             self.fetches.remove(number);
@@ -99,14 +149,15 @@
         let before = fetch.phase;
         // A connection that has come up, or taken more, through a stall: its time may be over though the
         // wheel has not said so yet.
-        let unwritten = matches!(before, fetch::Phase::Connecting | fetch::Phase::Sending);
+        let unwritten = !matches!(before, fetch::Phase::Waiting | fetch::Phase::Idle);
         if unwritten && (self.now > fetch.write_by || self.now >= fetch.until) {
             return self.end_fetch(number, Outcome::ConnectFailed);
         }
         match fetch.go_on(ready) {
+            Progress::Connected => self.begin_request(number),
             Progress::Going => {
                 let wanted = match fetch.phase {
-                    fetch::Phase::Connecting | fetch::Phase::Sending => BOTH,
+                    fetch::Phase::Connecting | fetch::Phase::Connected | fetch::Phase::Sending => BOTH,
                     fetch::Phase::Waiting | fetch::Phase::Idle => READ,
                 };
                 if wanted != fetch.interest {
@@ -155,11 +206,8 @@
     /// A req has lost its client: an attempt that is not written whole is not written at all, also where the
     /// deployment lets no attempt be called off.
     pub(super) fn call_off(&mut self, req: u32) {
-        let unwritten = |(_, fetch): &(u32, &Fetch)| {
-            let of_req = matches!(fetch.job, Some(Job::Req { req: its, .. }) if its == req);
-            of_req && fetch.phase != fetch::Phase::Waiting
-        };
-        let found = self.fetches.iter().find(unwritten).map(|(number, _)| number);
+        let found =
+            self.fetches.iter().find(|(_, fetch)| fetch.is_unwritten_of(req)).map(|(number, _)| number);
         if let Some(number) = found {
             self.end_fetch(number, Outcome::Moot);
         }
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -8,9 +8,11 @@
 use super::{BOTH, Due, LEFT, LISTENER, Node, READ, SESSION, token};
 use crate::client::{self, HARDLY_MISSED, Intake, Route, Session};
 use crate::clock::MS;
+use crate::counters::CloseReason;
 use crate::ledger::Purpose;
 use crate::net;
 use crate::req::{Ask, Barred, Synthetic};
+use crate::rules::{self, ClosePermit, Denial, Violation};
 
 /// When clients can't be taken, taking them goes on after this time.
 pub(super) const ACCEPT_PAUSE: Nanos = 50 * MS;
@@ -23,6 +25,7 @@
             let Some(listener) = self.listener.as_ref().filter(|_| self.accepting) else { return };
             // No session is given up for nobody.
             if !self.session_fits() && !net::has_client(listener) {
+                self.queue_emptied(self.now);
                 return;
             }
             if !self.room_for_session() {
@@ -32,7 +35,7 @@
             let Some(listener) = &self.listener else { return };
             match net::accept(listener) {
                 Ok(Some(socket)) => self.open_session(socket),
-                Ok(None) => return,
+                Ok(None) => return self.queue_emptied(self.now),
                 Err(error) => {
                     self.log.line(self.now, "accept-failed", error);
                     // Out of descriptors: an idle session gives up its own. No spin on what can't be taken.
@@ -43,6 +46,8 @@
                 }
             }
         }
+        // More wait than one turn takes: how long they have is not known any more.
+        self.queue_watched = Nanos::MAX;
     }
 
     pub(super) fn pause_accepting(&mut self) {
@@ -50,8 +55,23 @@
         self.wheel.hang(self.now + ACCEPT_PAUSE, Due::Accept);
     }
 
+    /// When the accept queue was last seen empty: read so, or by a look of the loop while it is watched.
+    fn queue_empty_at(&self) -> Nanos {
+        let seen = if self.queue_watched <= self.looked { self.looked } else { 0 };
+        self.queue_emptied.max(seen)
+    }
+
+    fn queue_emptied(&mut self, now: Nanos) {
+        self.queue_emptied = now;
+        if self.accepting {
+            self.queue_watched = self.queue_watched.min(now);
+        }
+    }
+
     pub(super) fn set_accepting(&mut self, on: bool) {
         self.accepting = on;
+        // What waits when accepting begins anew may have waited all the while.
+        self.queue_watched = Nanos::MAX;
         if let Some(listener) = &self.listener {
             let flags = if on { EventFlags::IN } else { EventFlags::empty() };
             let _ = epoll::modify(&self.epoll, listener, token(LISTENER, 0), flags);
@@ -88,11 +108,21 @@
     /// Closes a session that can be spared, unless a request has come on it that nobody has read: to its
     /// client that close would be one without an answer. Tells whether it has closed.
     pub(super) fn spare(&mut self, number: u32) -> bool {
-        if self.sessions.get(number).is_some_and(Session::has_unread) {
-            self.read_session(number);
-            return self.sessions.get(number).is_none();
+        self.close_if_allowed(number, CloseReason::Evicted)
+    }
+
+    /// Closes a session for a reason of the node's own, if the rules allow it; else takes up what forbids it.
+    /// Tells whether it has closed.
+    fn close_if_allowed(&mut self, number: u32, reason: CloseReason) -> bool {
+        let Some(session) = self.sessions.get(number) else { return false };
+        match rules::may_close(session.close_facts()) {
+            Ok(permit) => self.close_session(number, permit, reason),
+            Err(denial) => {
+                self.count_denial(denial, format_args!("session={number}"));
+                self.read_session(number);
+                self.sessions.get(number).is_none()
+            }
         }
-        self.close_session(number)
     }
 
     /// The session that can be spared most: its class, since when, its number.
@@ -138,14 +168,21 @@
         if let Err(error) = epoll::add(&self.epoll, &socket, token(SESSION, number), READ) {
             return self.log.line(self.now, "epoll-failed", error);
         }
-        self.sessions.insert(Session::new(socket, self.now, READ, &self.budget));
+        let queued = self.queue_empty_at();
+        self.sessions.insert(Session::new(socket, self.now, queued, READ, &self.budget));
         self.watch_sessions();
         self.read_session(number);
     }
 
     /// Closes a session; a req that it waits for has lost its client.
-    pub(super) fn close_session(&mut self, number: u32) -> bool {
+    pub(super) fn close_session(&mut self, number: u32, _permit: ClosePermit, reason: CloseReason) -> bool {
         let Some(mut session) = self.sessions.remove(number) else { return false };
+        self.counters.closed(reason);
+        self.trace.line(self.now, format_args!("closed session={number} why={}", reason.name()));
+        let of_client = matches!(reason, CloseReason::ClientGone | CloseReason::Broken);
+        if session.req.is_some() && !of_client {
+            self.violated(Violation::ClosedUnanswered, format_args!("session={number}"));
+        }
         if let Some(req) = session.req {
             self.reqs.gone(self.now, req);
             self.call_off(req);
@@ -165,9 +202,9 @@
         }
         // On a resting one a request may have come since this turn's look at the sockets.
         if session.is_idle() {
-            self.spare(number);
+            self.close_if_allowed(number, CloseReason::TimedOut);
         } else {
-            self.close_session(number);
+            self.close_session(number, ClosePermit::time_is_over(), CloseReason::TimedOut);
         }
     }
 
@@ -176,7 +213,7 @@
         session.left |= flags.intersects(LEFT);
         // With a full inbox the end can't be read, and would be told again without a pause.
         if session.left && session.is_stuffed() {
-            self.close_session(number);
+            self.client_left(number);
         } else {
             self.read_session(number);
         }
@@ -187,15 +224,12 @@
     pub(super) fn read_session(&mut self, number: u32) {
         let Some(session) = self.sessions.get_mut(number) else { return };
         if !session.flush(self.now) {
-            self.close_session(number);
-            return;
+            return self.drop_session(number, CloseReason::Broken);
         }
-        match session.read(self.now) {
+        match session.read(self.now, self.looked) {
             Intake::Wait => {}
-            Intake::Gone => {
-                self.close_session(number);
-                return;
-            }
+            Intake::Ended => return self.client_left(number),
+            Intake::Broken => return self.drop_session(number, CloseReason::Broken),
             Intake::Bad(bad) => {
                 let status = client::status_of(bad);
                 self.log.line(self.now, "bad-request", format_args!("status={status} why={bad:?}"));
@@ -205,12 +239,12 @@
                 let waited = self.now.saturating_sub(began);
                 let left = session.left;
                 match client::route(head, body, &self.deployment, waited) {
-                    // Nobody waits for it: it must not run. What asks nothing of a backend is answered all
-                    // the same, for those who end their sending with the request.
+                    // The client may have gone, so it must not run. It may also have ended its sending alone,
+                    // and then it waits for an answer.
                     Route::Req(..) if left => {
                         self.trace.line(self.now, format_args!("left session={number}"));
-                        self.close_session(number);
-                        return;
+                        self.count_denial(Denial::ClientGone, format_args!("session={number}"));
+                        return self.drop_session(number, CloseReason::ClientGone);
                     }
                     Route::Health => self.reply_health(number),
                     Route::Wrong(status, why) => {
@@ -225,6 +259,19 @@
         self.settle_session(number);
     }
 
+    /// The client has ended its sending. A close looks the same, so its request is not worked on any more;
+    /// but a client that only ended its sending waits for an answer, and gets one.
+    fn client_left(&mut self, number: u32) {
+        let Some(session) = self.sessions.get_mut(number) else { return };
+        session.left = true;
+        self.drop_session(number, CloseReason::ClientGone);
+    }
+
+    /// Closes a session that its client has ended or broken.
+    fn drop_session(&mut self, number: u32, reason: CloseReason) {
+        self.close_session(number, ClosePermit::nothing_owed(), reason);
+    }
+
     pub(super) fn reply_health(&mut self, number: u32) {
         let (status, word) = if self.is_draining() {
             (503, "ending\n")
@@ -301,17 +348,23 @@
     pub(super) fn settle_session(&mut self, number: u32) {
         let Some(session) = self.sessions.get_mut(number) else { return };
         if !session.flush(self.now) {
-            self.close_session(number);
-            return;
+            return self.drop_session(number, CloseReason::Broken);
+        }
+        if session.left && session.outbox.is_empty() && session.req.is_none() {
+            let answered = session.phase == client::Phase::Lingering;
+            let reason = if answered { CloseReason::Answered } else { CloseReason::ClientGone };
+            return self.drop_session(number, reason);
         }
         let wanted = match (session.outbox.is_empty(), session.is_stuffed()) {
+            // Its end is known and would be told again without a pause.
+            _ if session.left => EventFlags::OUT,
             (true, false) => READ,
             (true, true) => EventFlags::RDHUP,
             (false, false) => BOTH,
             (false, true) => EventFlags::OUT | EventFlags::RDHUP,
         };
         if wanted != session.interest {
-            session.interest = wanted;
+            session.set_interest(wanted, self.now);
             let _ = epoll::modify(&self.epoll, &session.socket, token(SESSION, number), wanted);
         }
         session.deadline.set(session.time_limit(), &mut self.wheel, Due::Session(number));
--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -5,11 +5,12 @@
 use std::collections::{HashSet, VecDeque};
 
 use kitefork::{
-    Action, BackendId, Balancer, ClassId, Effect, Event, Group, Nanos, Outcome, Request, RequestId, Settings,
+    Action, BackendId, Balancer, ClassId, Effect, Event, Nanos, Outcome, Request, RequestId, Settings,
     SettingsError, TenantId, TimerId,
 };
 
 use crate::log::Trace;
+use crate::rules::{self, Denial, History, StartFacts, Violation};
 use crate::slots::Slots;
 
 /// A req as the client put it.
@@ -106,9 +107,16 @@
 
     /// Whether "trying again is harmless" is true.
     fn refusable(&self) -> bool {
-        match self.effect {
-            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => self.may_have_run().next().is_none(),
+        rules::may_refuse(self.effect, self.may_have_run().next().is_some()).is_ok()
+    }
+
+    fn history(&self) -> History {
+        History {
+            effect: self.effect,
+            attempts: self.attempts.len(),
+            out: self.out(),
+            may_have_run: self.may_have_run().next().is_some(),
+            write_by: self.write_by(),
         }
     }
 
@@ -132,6 +140,10 @@
     max_attempts: usize,
     slack: Nanos,
     actions: Vec<Action>,
+    /// Attempts that the decisions asked for and the rules denied, for whoever counts them.
+    pub denials: Vec<Denial>,
+    /// Rules that were found broken after the act, for whoever counts them.
+    pub violations: Vec<Violation>,
     pub trace: Trace,
     /// What is to be done, in the order in which it was decided.
     pub orders: VecDeque<Order>,
@@ -147,6 +159,8 @@
             slack: settings.rules.answer_slack,
             balancer: Balancer::new(settings, seed, now)?,
             actions: Vec::new(),
+            denials: Vec::new(),
+            violations: Vec::new(),
             trace: Trace::default(),
             orders: VecDeque::new(),
         })
@@ -190,6 +204,11 @@
         self.table.get(id).map(|req| &req.cargo)
     }
 
+    /// The client session that waits for it.
+    pub fn owner(&self, id: u32) -> Option<u32> {
+        self.table.get(id).map(|req| req.owner)
+    }
+
     /// It has no answer yet, and somebody waits for it.
     pub fn waits(&self, id: u32) -> bool {
         self.table.get(id).is_some_and(|req| !req.over)
@@ -206,6 +225,9 @@
         let last = matches!(outcome, Outcome::Ok | Outcome::Rejected);
         let served = (last && !req.over).then_some(req.owner);
         req.over |= last;
+        if served.is_some() {
+            self.violations.extend(rules::check_answer(now, req.deadline).err());
+        }
         let finished = req.over;
         self.trace.line(
             now,
@@ -300,19 +322,21 @@
         let req = self.table.get_mut(id)?;
         let attempt = u8::try_from(req.attempts.len()).ok()?;
         let until = if until == 0 { req.deadline } else { until.min(req.deadline) };
-        let barred = req.over
-            || now >= req.deadline
-            || req.attempts.len() >= self.max_attempts
-            || req.out() > 0
-            || (req.effect == Effect::Unsafe && req.may_have_run().next().is_some())
-            || now > req.write_by();
+        let facts = StartFacts {
+            answered: req.over,
+            deadline: req.deadline,
+            most_attempts: self.max_attempts,
+            history: req.history(),
+        };
+        let allowed = rules::may_start(now, &facts);
         let write_by = req.write_by();
         req.attempts.push(Attempt { sent: now, outcome: None });
         self.trace.line(
             now,
-            format_args!("send id={id} try={attempt} b={} barred={}", backend.0, u8::from(barred)),
+            format_args!("send id={id} try={attempt} b={} barred={}", backend.0, u8::from(allowed.is_err())),
         );
-        if barred {
+        if let Err(denial) = allowed {
+            self.denials.push(denial);
             return Some((id, attempt));
         }
         self.orders.push_back(Order::Fetch { req: id, attempt, backend, until, write_by });
@@ -324,6 +348,7 @@
     fn answer(&mut self, now: Nanos, id: u32, answer: Synthetic) {
         let Some(req) = self.table.get_mut(id).filter(|req| !req.over) else { return };
         req.over = true;
+        self.violations.extend(rules::check_answer(now, req.deadline).err());
         let answer = match answer {
             Synthetic::Refused { .. } if !req.refusable() => Synthetic::Failed,
             other => other,
@@ -350,7 +375,7 @@
 mod tests {
     use super::*;
     use crate::clock::{MS, SECOND};
-    use kitefork::{Backend, BackendState, CellId, Class, ListKind};
+    use kitefork::{Backend, BackendState, CellId, Class, Group, ListKind};
 
     const NOW: Nanos = 100 * SECOND;
 
--- /dev/null
+++ b/node/src/rules.rs
@@ -0,0 +1,246 @@
+//! The rules of the protocol, decided in one place: whether an attempt may start, whether its first byte may
+//! be written, whether a request may be refused, and whether an idle client connection may be closed, now.
+//!
+//! Pure: facts come in, a permit or a [`Denial`] comes out; no sockets, no clock. A permit can only be made
+//! here and is consumed by the act that it allows, so an act without one does not compile. What was done is
+//! checked against the same rules afterwards; see [`Violation`].
+
+use std::fmt;
+
+use kitefork::{Effect, Group, Nanos};
+
+use crate::clock::MS;
+
+/// Shortest time with a backend that is worth an attempt: less is told as 0 ms, and such an attempt is over
+/// when it comes.
+const LEAST_TIME: Nanos = MS;
+
+/// Why something is not allowed now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Denial {
+    /// The request has its final answer.
+    Answered,
+    /// The client has closed its connection.
+    ClientGone,
+    /// The client's time, or the attempt's, is over.
+    DeadlinePassed,
+    /// Another attempt of the request is out.
+    AttemptOut,
+    /// The request has had as many attempts as the settings allow.
+    AttemptsSpent,
+    /// An earlier attempt may have run, and the class does not allow a repeat.
+    MayHaveRun,
+    /// Backends no longer drop a repeat of this keyed request.
+    WindowClosed,
+    /// The list calls the backend draining or gone.
+    BackendNotReady,
+    /// Bytes that nobody has read lie in the connection.
+    Unread,
+    /// An answer is owed on the connection.
+    AnswerOwed,
+}
+
+impl Denial {
+    /// The word in logs and counts.
+    pub fn name(self) -> &'static str {
+        match self {
+            Denial::Answered => "answered",
+            Denial::ClientGone => "client_gone",
+            Denial::DeadlinePassed => "deadline_passed",
+            Denial::AttemptOut => "attempt_out",
+            Denial::AttemptsSpent => "attempts_spent",
+            Denial::MayHaveRun => "may_have_run",
+            Denial::WindowClosed => "window_closed",
+            Denial::BackendNotReady => "backend_not_ready",
+            Denial::Unread => "unread",
+            Denial::AnswerOwed => "answer_owed",
+        }
+    }
+}
+
+impl fmt::Display for Denial {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// What is known of a request's earlier attempts.
+#[derive(Debug, Clone, Copy)]
+pub struct History {
+    /// What repeating the request does.
+    pub effect: Effect,
+    /// Attempts so far.
+    pub attempts: usize,
+    /// Attempts that have not ended.
+    pub out: usize,
+    /// Some attempt may have run, or may still run.
+    pub may_have_run: bool,
+    /// Until when a repeat may be written: the earliest end of a window of those that may have run.
+    pub write_by: Nanos,
+}
+
+/// What decides whether an attempt may start.
+#[derive(Debug, Clone, Copy)]
+pub struct StartFacts {
+    /// The request has its final answer, or its client has gone.
+    pub answered: bool,
+    /// When the client gives up.
+    pub deadline: Nanos,
+    /// Attempts that the settings allow for a request.
+    pub most_attempts: usize,
+    /// Its earlier attempts.
+    pub history: History,
+}
+
+/// Whether another attempt may start now.
+pub fn may_start(now: Nanos, facts: &StartFacts) -> Result<(), Denial> {
+    let history = &facts.history;
+    if facts.answered {
+        Err(Denial::Answered)
+    } else if now >= facts.deadline {
+        Err(Denial::DeadlinePassed)
+    } else if history.out > 0 {
+        Err(Denial::AttemptOut)
+    } else if history.attempts >= facts.most_attempts {
+        Err(Denial::AttemptsSpent)
+    } else if history.effect == Effect::Unsafe && history.may_have_run {
+        Err(Denial::MayHaveRun)
+    } else if now > history.write_by {
+        Err(Denial::WindowClosed)
+    } else {
+        Ok(())
+    }
+}
+
+/// What decides whether the first byte of an attempt may be written.
+#[derive(Debug, Clone, Copy)]
+pub struct WriteFacts {
+    /// The request has its final answer.
+    pub answered: bool,
+    /// The client's connection shows an end or a reset.
+    pub client_gone: bool,
+    /// The list calls the backend ready.
+    pub backend_ready: bool,
+    /// When the attempt is given up.
+    pub until: Nanos,
+    /// Until when it may be written.
+    pub write_by: Nanos,
+}
+
+/// The right to write one attempt's bytes.
+#[derive(Debug)]
+pub struct WritePermit {
+    time_left: Nanos,
+    write_by: Nanos,
+}
+
+impl WritePermit {
+    /// The time that the backend may be told, in whole milliseconds: what is left, rounded down.
+    pub fn told_ms(&self) -> u64 {
+        self.time_left / MS
+    }
+
+    /// Whether what was written under this permit was written in time; `now` is read after the write.
+    pub fn check(self, now: Nanos) -> Result<(), Violation> {
+        if now > self.write_by.saturating_add(HELD_UP) { Err(Violation::WrittenLate) } else { Ok(()) }
+    }
+}
+
+/// A process may be held up for this long between its clock and its write; the terms allow for it.
+const HELD_UP: Nanos = 150 * MS;
+
+/// Whether the first byte of an attempt may be written now; `now` is a fresh reading of the clock.
+pub fn may_write(now: Nanos, facts: &WriteFacts) -> Result<WritePermit, Denial> {
+    if facts.answered {
+        Err(Denial::Answered)
+    } else if facts.client_gone {
+        Err(Denial::ClientGone)
+    } else if !facts.backend_ready {
+        Err(Denial::BackendNotReady)
+    } else if now.saturating_add(LEAST_TIME) > facts.until {
+        Err(Denial::DeadlinePassed)
+    } else if now > facts.write_by {
+        Err(Denial::WindowClosed)
+    } else {
+        Ok(WritePermit { time_left: facts.until - now, write_by: facts.write_by })
+    }
+}
+
+/// Whether a refusal, which tells the client that trying again is harmless, would be true.
+pub fn may_refuse(effect: Effect, may_have_run: bool) -> Result<(), Denial> {
+    match effect {
+        Effect::Safe | Effect::Keyed { group: Group::All, .. } => Ok(()),
+        Effect::Keyed { .. } | Effect::Unsafe if may_have_run => Err(Denial::MayHaveRun),
+        Effect::Keyed { .. } | Effect::Unsafe => Ok(()),
+    }
+}
+
+/// A final answer this long after its client's time is lost, says the protocol's page.
+const ANSWER_GRACE: Nanos = 500 * MS;
+
+/// Whether a final answer that is given now is given in time.
+pub fn check_answer(now: Nanos, deadline: Nanos) -> Result<(), Violation> {
+    if now > deadline.saturating_add(ANSWER_GRACE) { Err(Violation::AnsweredLate) } else { Ok(()) }
+}
+
+/// What decides whether a client connection may be closed for a reason of the node's own.
+#[derive(Debug, Clone, Copy)]
+pub struct CloseFacts {
+    /// A request of this connection waits for its answer, or an answer is not written whole.
+    pub answer_owed: bool,
+    /// Bytes have come that nobody has read.
+    pub unread: bool,
+}
+
+/// The right to close a client connection.
+#[derive(Debug)]
+pub struct ClosePermit(());
+
+impl ClosePermit {
+    /// For a connection that its client has ended or broken, or whose process ends: nothing is owed on it.
+    pub fn nothing_owed() -> ClosePermit {
+        ClosePermit(())
+    }
+
+    /// For a connection whose client has had all the time that it is given for a message or an answer.
+    pub fn time_is_over() -> ClosePermit {
+        ClosePermit(())
+    }
+}
+
+/// Whether a client connection may be closed now.
+pub fn may_close(facts: CloseFacts) -> Result<ClosePermit, Denial> {
+    if facts.answer_owed {
+        Err(Denial::AnswerOwed)
+    } else if facts.unread {
+        Err(Denial::Unread)
+    } else {
+        Ok(ClosePermit(()))
+    }
+}
+
+/// A rule that was found broken after the act. Counted and logged; a debug build panics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Violation {
+    /// An attempt was written after the time in which it may be repeated.
+    WrittenLate,
+    /// A connection was closed on which an answer was owed.
+    ClosedUnanswered,
+    /// A request got its answer long after its client's time.
+    AnsweredLate,
+}
+
+impl Violation {
+    /// The word in logs and counts.
+    pub fn name(self) -> &'static str {
+        match self {
+            Violation::WrittenLate => "written_late",
+            Violation::ClosedUnanswered => "closed_unanswered",
+            Violation::AnsweredLate => "answered_late",
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "rules_tests.rs"]
+mod tests;
--- a/node/tests/terms/mod.rs
+++ b/node/tests/terms/mod.rs
@@ -2,6 +2,7 @@
 
 mod deadline;
 mod faults;
+mod half_close;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
