A client that ends its sending behind its request gets an answer; nothing is sent on for it

Cause: read_session and Intake::Gone closed the connection, whatever was owed on it (Route::Req(..) if left). Class: a close without a look at what was taken. Change: client_left calls off what is not written, answers 503 where nothing ran and 502 where something may have, writes what is owed and then closes; a reset still closes at once.

--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -14,6 +14,9 @@
 use crate::req::{Ask, Barred, Synthetic};
 use crate::rules::{self, ClosePermit, Denial, Violation};
 
+/// Answers to clients that have ended their sending behind their request.
+const LEFT_UNTRIED: &[u8] = b"refused: the client has left, nothing ran\n";
+const LEFT_TRIED: &[u8] = b"failed: the client has left\n";
 /// When clients can't be taken, taking them goes on after this time.
 pub(super) const ACCEPT_PAUSE: Nanos = 50 * MS;
 
@@ -244,7 +247,7 @@
                     Route::Req(..) if left => {
                         self.trace.line(self.now, format_args!("left session={number}"));
                         self.count_denial(Denial::ClientGone, format_args!("session={number}"));
-                        return self.drop_session(number, CloseReason::ClientGone);
+                        self.reply(number, 503, &[], LEFT_UNTRIED, true);
                     }
                     Route::Health => self.reply_health(number),
                     Route::Wrong(status, why) => {
@@ -264,7 +267,22 @@
     fn client_left(&mut self, number: u32) {
         let Some(session) = self.sessions.get_mut(number) else { return };
         session.left = true;
-        self.drop_session(number, CloseReason::ClientGone);
+        if let Some(req) = session.req {
+            // What is not written yet never runs.
+            let unwritten = self.fetches.iter().any(|(_, fetch)| fetch.is_unwritten_of(req));
+            let untried = self.reqs.may_refuse(req, unwritten);
+            self.reqs.gone(self.now, req);
+            self.call_off(req);
+            let (status, body) = if untried { (503, LEFT_UNTRIED) } else { (502, LEFT_TRIED) };
+            self.reply(number, status, &[], body, true);
+            return self.settle_session(number);
+        }
+        if session.outbox.is_empty() {
+            self.drop_session(number, CloseReason::ClientGone);
+        } else {
+            // An answer is on its way to one that still reads.
+            self.settle_session(number);
+        }
     }
 
     /// Closes a session that its client has ended or broken.
--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -239,6 +239,13 @@
         served
     }
 
+    /// Whether a refusal of it would be true, if what is out counts as never run where it is `unwritten`.
+    pub fn may_refuse(&self, id: u32, unwritten: bool) -> bool {
+        let Some(req) = self.table.get(id) else { return false };
+        let ran = req.may_have_run().any(|attempt| attempt.outcome.is_some() || !unwritten);
+        rules::may_refuse(req.effect, ran).is_ok()
+    }
+
     /// The client has gone.
     pub fn gone(&mut self, now: Nanos, id: u32) {
         if let Some(req) = self.table.get_mut(id).filter(|req| !req.over) {
