Calls that fail for a moment cost no client, attempt or backend; the log never blocks the loop

Cause: flush and read took each error for the end of the connection; open_session dropped a socket that epoll did not take; accept paused 50 ms and gave an idle session up for every error; a local errno of a dial burned an attempt; log::write blocked. Class: one answer to every errno. Change: errno.rs has one table a call; what the machine lacks for a moment is tried again 2 ms later without an event in between (no spin); dials that this machine can't start are postponed for as long as a connect may take; accept goes on at once with the next client or backs off from 2 to 50 ms; lines that standard error has no room for are dropped and counted (`log-dropped`). Siblings found and mended: epoll_ctl(MOD) whose failure was ignored (events lost for good), the listener's re-arming, calls to discovery, the start itself, the byte of a signal (a flag is looked at in each turn, so that SIGTERM is not lost).

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -4,14 +4,15 @@
 
 use kitefork::{Effect, Nanos};
 use kitefork_settings::Deployment;
-use rustix::event::epoll::EventFlags;
+use rustix::event::epoll::{EventData, EventFlags};
+use rustix::io::Errno;
 use rustix::net::RecvFlags;
 
 use crate::clock::{MS, SECOND};
 use crate::http1::{self, Bad, Head, MOST_ANSWER, MOST_HEAD, Parser, Start};
-use crate::net;
+use crate::net::{self, Registration};
 use crate::req::{Ask, Synthetic};
-use crate::ring::{Body, Budget, Read, Ring};
+use crate::ring::{Body, Budget, Read, Ring, Write};
 use crate::rules::CloseFacts;
 use crate::wheel::Deadline;
 
@@ -77,7 +78,7 @@
     asked: u32,
     arrival: Arrival,
     pub deadline: Deadline,
-    pub interest: EventFlags,
+    pub registration: Registration,
 }
 
 /// When bytes of a session can have come at the earliest. The kernel does not say when they came, so that is
@@ -118,6 +119,8 @@
 pub enum Intake {
     /// Nothing whole yet.
     Wait,
+    /// The machine lacks something for a moment: read again a little later.
+    Later,
     /// A whole message, and when its first byte can have come at the earliest.
     Message(Head, Body, Nanos),
     Bad(Bad),
@@ -129,7 +132,7 @@
 
 impl Session {
     /// A connection that was accepted at `now`, and at `queued` at the earliest had come to be.
-    pub fn new(socket: OwnedFd, now: Nanos, queued: Nanos, interest: EventFlags, budget: &Budget) -> Session {
+    pub fn new(socket: OwnedFd, now: Nanos, queued: Nanos, budget: &Budget) -> Session {
         Session {
             socket,
             // An answer, its head, and a word of leave before it.
@@ -147,7 +150,7 @@
             asked: 0,
             arrival: Arrival::new(now, queued),
             deadline: Deadline::new(),
-            interest,
+            registration: Registration::default(),
         }
     }
 
@@ -192,16 +195,14 @@
         free.then_some((class, self.since))
     }
 
-    /// Writes what it can; `false`: the connection has broken.
-    pub fn flush(&mut self, now: Nanos) -> bool {
-        if self.outbox.write_to(&self.socket).is_err() {
-            return false;
-        }
+    /// Writes what it can.
+    pub fn flush(&mut self, now: Nanos) -> Write {
+        let written = self.outbox.write_to(&self.socket);
         if self.phase == Phase::Closing && self.outbox.is_empty() {
             let _ = rustix::net::shutdown(&self.socket, rustix::net::Shutdown::Write);
             (self.phase, self.since) = (Phase::Lingering, now);
         }
-        true
+        written
     }
 
     /// It has had a whole message.
@@ -269,6 +270,10 @@
                     self.arrival.unread = true;
                     return Intake::Wait;
                 }
+                Read::Later => {
+                    self.arrival.unread = true;
+                    return Intake::Later;
+                }
                 Read::End => return Intake::Ended,
                 Read::Broken => return Intake::Broken,
             }
@@ -288,7 +293,7 @@
                     self.arrival.emptied(now);
                     break false;
                 }
-                Read::Full => {
+                Read::Full | Read::Later => {
                     self.arrival.unread = true;
                     break net::has_left(&self.socket);
                 }
@@ -327,12 +332,24 @@
         }
     }
 
-    /// From `now` on, events are given for what comes, or no longer.
-    pub fn set_interest(&mut self, interest: EventFlags, now: Nanos) {
-        if interest.contains(EventFlags::IN) && !self.interest.contains(EventFlags::IN) {
+    /// From `now` on, these events are given for it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Registration::set`].
+    pub fn watch(
+        &mut self,
+        epoll: &OwnedFd,
+        token: EventData,
+        wanted: EventFlags,
+        now: Nanos,
+    ) -> Result<(), Errno> {
+        let was_watched = self.registration.flags().contains(EventFlags::IN);
+        self.registration.set(epoll, &self.socket, token, wanted)?;
+        if wanted.contains(EventFlags::IN) && !was_watched {
             self.arrival.watched = now;
         }
-        self.interest = interest;
+        Ok(())
     }
 
     fn parse(&mut self, now: Nanos) -> Option<Intake> {
@@ -578,15 +595,15 @@
     #[test]
     fn a_session_that_parts_tells_its_end_before_it_throws_a_late_request_away() {
         use rustix::net::{AddressFamily, SocketFlags, SocketType, socketpair};
-        use std::io::{Read, Write};
+        use std::io::{Read as _, Write as _};
         let (family, kind, flags) = (AddressFamily::UNIX, SocketType::STREAM, SocketFlags::NONBLOCK);
         let (near, far) = socketpair(family, kind, flags, None).unwrap();
         let mut far = std::os::unix::net::UnixStream::from(far);
-        let mut session = Session::new(near, 0, 0, EventFlags::IN, &Budget::default());
+        let mut session = Session::new(near, 0, 0, &Budget::default());
         far.write_all(GOOD.as_bytes()).unwrap();
         assert!(matches!(session.read(0, 0), Intake::Message(..)));
         session.answer(0, 200, &[], b"hi", false);
-        assert!(session.flush(0) && far.read(&mut [0; 256]).unwrap() > 0);
+        assert!(session.flush(0) == Write::Done && far.read(&mut [0; 256]).unwrap() > 0);
         far.write_all(GOOD.as_bytes()).unwrap();
         session.part();
         assert_eq!(far.read(&mut [0; 256]).unwrap(), 0);
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -11,6 +11,7 @@
 
 use crate::clock::{Clock, MS, SECOND};
 use crate::http1::{self, Parser, Start};
+use crate::net::Registration;
 use crate::ring::{Read, Ring};
 use crate::wheel::Deadline;
 
@@ -274,6 +275,7 @@
     whole: Nanos,
     spoke: bool,
     pub deadline: Deadline,
+    pub registration: Registration,
 }
 
 /// What a call has brought.
@@ -286,6 +288,8 @@
     pub over: Option<String>,
     /// It ended as it should.
     pub well: bool,
+    /// The machine lacks something for a moment: read again a little later.
+    pub later: bool,
 }
 
 impl Call {
@@ -308,6 +312,7 @@
             whole: now,
             spoke: false,
             deadline: Deadline::new(),
+            registration: Registration::default(),
         }
     }
 
@@ -332,6 +337,10 @@
                     }
                 }
                 Read::Dry => break,
+                Read::Later => {
+                    news.later = true;
+                    break;
+                }
                 Read::End | Read::Broken if self.parser.end() && !self.watch => {
                     if let Err(fault) = self.whole(&mut news) {
                         news.over = Some(fault);
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -4,12 +4,13 @@
 use std::os::fd::OwnedFd;
 
 use kitefork::{BackendId, Nanos, Outcome};
-use rustix::event::epoll::EventFlags;
 use rustix::net::{RecvFlags, sockopt};
 
 use crate::clock::{MS, SECOND};
+use crate::errno::{self, ErrorClass};
 use crate::http1::{Head, MOST_BODY, MOST_HEAD, Parser, Start};
-use crate::ring::{Body, Budget, Read, Ring};
+use crate::net::Registration;
+use crate::ring::{Body, Budget, Read, Ring, Write};
 use crate::wheel::Deadline;
 
 /// Once some backend has said more than it was asked, for so long ...
@@ -52,7 +53,7 @@
     inbox: Ring,
     parser: Parser,
     pub deadline: Deadline,
-    pub interest: EventFlags,
+    pub registration: Registration,
 }
 
 /// Whether a connection can carry another request.
@@ -67,6 +68,8 @@
 /// What has become of a fetch.
 pub enum Progress {
     Going,
+    /// The machine lacks something for a moment: go on a little later.
+    Later,
     /// The connection is up; the request is to be begun.
     Connected,
     /// A whole answer.
@@ -77,7 +80,7 @@
 }
 
 impl Fetch {
-    pub fn new(socket: OwnedFd, backend: BackendId, interest: EventFlags, budget: &Budget) -> Fetch {
+    pub fn new(socket: OwnedFd, backend: BackendId, budget: &Budget) -> Fetch {
         Fetch {
             socket,
             backend,
@@ -90,7 +93,7 @@
             inbox: Ring::new(MOST_HEAD + 1024).on(budget),
             parser: Parser::responses().on(budget),
             deadline: Deadline::new(),
-            interest,
+            registration: Registration::default(),
         }
     }
 
@@ -125,13 +128,15 @@
         if self.phase == Phase::Connected {
             return Progress::Connected;
         }
-        let broken = self.phase == Phase::Sending && self.outbox.write_to(&self.socket).is_err();
+        let written =
+            if self.phase == Phase::Sending { self.outbox.write_to(&self.socket) } else { Write::Done };
         if self.phase == Phase::Sending && self.outbox.is_empty() {
             self.phase = Phase::Waiting;
         }
         // A backend that turns a request away may answer and close before it has read all of it.
         match self.read() {
-            Progress::Going if broken => Progress::Failed(Outcome::ConnectFailed),
+            Progress::Going if written == Write::Broken => Progress::Failed(Outcome::ConnectFailed),
+            Progress::Going if written == Write::Later => Progress::Later,
             other => other,
         }
     }
@@ -143,6 +148,7 @@
                 Read::Some if self.phase == Phase::Idle => return Progress::Stale(Reuse::Doubled),
                 Read::Some => false,
                 Read::Dry | Read::Full => return Progress::Going,
+                Read::Later => return Progress::Later,
                 Read::End if self.phase == Phase::Idle => return self.gone(),
                 Read::End => true,
                 Read::Broken => return self.gone(),
@@ -183,10 +189,16 @@
 
     /// Whether an idle connection is still good: neither an end nor stray bytes have come.
     pub fn soundness(&self) -> Reuse {
-        match rustix::net::recv(&self.socket, &mut [0], RecvFlags::PEEK) {
-            Err(rustix::io::Errno::AGAIN) => Reuse::Yes,
-            Ok((1.., _)) => Reuse::Doubled,
-            _ => Reuse::No,
+        loop {
+            return match rustix::net::recv(&self.socket, &mut [0], RecvFlags::PEEK) {
+                Ok((1.., _)) => Reuse::Doubled,
+                Ok(_) => Reuse::No,
+                Err(error) => match errno::of_transfer(error) {
+                    ErrorClass::RetryNow => continue,
+                    ErrorClass::WouldBlock => Reuse::Yes,
+                    _ => Reuse::No,
+                },
+            };
         }
     }
 }
@@ -255,14 +267,14 @@
 mod tests {
     use super::*;
     use rustix::net::{AddressFamily, SocketFlags, SocketType, socketpair};
-    use std::io::Write;
+    use std::io::Write as _;
     use std::os::unix::net::UnixStream;
 
     /// A fetch whose request is written, and the backend's end.
     fn waiting() -> (Fetch, UnixStream) {
         let (family, kind, flags) = (AddressFamily::UNIX, SocketType::STREAM, SocketFlags::NONBLOCK);
         let (near, far) = socketpair(family, kind, flags, None).unwrap();
-        let mut fetch = Fetch::new(near, BackendId(1), EventFlags::IN, &Budget::default());
+        let mut fetch = Fetch::new(near, BackendId(1), &Budget::default());
         fetch.phase = Phase::Sending;
         assert!(fetch.outbox.push(b"GET / HTTP/1.1\r\n\r\n"));
         assert!(matches!(fetch.go_on(true), Progress::Going));
@@ -276,7 +288,7 @@
         let found = match fetch.go_on(true) {
             Progress::Answered(head, _, reuse) => Ok((outcome(&head), reuse)),
             Progress::Failed(outcome) => Err(outcome),
-            Progress::Going | Progress::Connected | Progress::Stale(_) => panic!("not ended"),
+            _ => panic!("not ended"),
         };
         drop(far);
         found
--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -2,10 +2,14 @@
 //! neither fills the disk nor costs the CPU that reqs need.
 
 use std::collections::BTreeMap;
+use std::io::Write as _;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use kitefork::Nanos;
+use rustix::event::PollFlags;
 
 use crate::clock::SECOND;
+use crate::net;
 
 const WINDOW: Nanos = 10 * SECOND;
 const MOST: u32 = 10;
@@ -38,9 +42,38 @@
     }
 }
 
-/// Guards against a log whose reader has gone: it must not end the node.
+/// Longest line: a pipe that has any room takes so much without blocking (`PIPE_BUF`).
+const LONGEST: usize = 4096;
+
+/// Lines for which standard error had no room, since one last had.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Writes a line if standard error has room for it now; else it is dropped and counted. A log that nobody
+/// reads must not hold up the loop, and one whose reader has gone must not end the node.
 fn write(line: &str) {
-    let _ = std::io::Write::write_all(&mut std::io::stderr(), line.as_bytes());
+    let stderr = std::io::stderr();
+    let has_room = || net::is_now(&stderr, PollFlags::OUT).unwrap_or(false);
+    let dropped = DROPPED.load(Ordering::Relaxed);
+    if dropped > 0 && has_room() {
+        write_now(&format!("kitefork: log-dropped lines={dropped}\n"));
+        DROPPED.store(0, Ordering::Relaxed);
+    }
+    if has_room() {
+        write_now(line);
+    } else {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn write_now(line: &str) {
+    let mut stderr = std::io::stderr();
+    // A reader that has gone is no fault of the node's.
+    let _ = if line.len() > LONGEST {
+        let end = line.floor_char_boundary(LONGEST - 1);
+        stderr.write_all(format!("{}\n", &line[..end]).as_bytes())
+    } else {
+        stderr.write_all(line.as_bytes())
+    };
 }
 
 /// The trace: every event and decision as a line `kitefork: trace t=UNIX_SECONDS WORD key=value ...`, without
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,6 +8,7 @@
 mod config;
 mod counters;
 mod discovery;
+mod errno;
 mod fetch;
 mod http1;
 mod ledger;
@@ -17,23 +18,15 @@
 mod req;
 mod ring;
 mod rules;
+mod signals;
 mod slots;
 mod wheel;
 
-use std::os::unix::net::UnixStream;
 use std::process::ExitCode;
 
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
-/// A stream that becomes readable with any of these signals.
-fn signal(signals: &[i32]) -> std::io::Result<UnixStream> {
-    let (near, far) = UnixStream::pair()?;
-    near.set_nonblocking(true)?;
-    for signal in signals {
-        signal_hook::low_level::pipe::register(*signal, far.try_clone()?)?;
-    }
-    Ok(near)
-}
+use crate::signals::Signal;
 
 fn main() -> ExitCode {
     let fault = |code: u8, why: String| {
@@ -41,7 +34,8 @@
         ExitCode::from(code)
     };
     // First of all: a signal that comes before its handler ends the process.
-    let signals = signal(&[SIGTERM, SIGINT]).and_then(|end| Ok([end, signal(&[SIGHUP])?]));
+    let signals =
+        Signal::register(&[SIGTERM, SIGINT]).and_then(|end| Ok([end, Signal::register(&[SIGHUP])?]));
     let signals = match signals {
         Ok(signals) => signals,
         Err(error) => return fault(1, format!("signals: {error}")),
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -1,14 +1,18 @@
 //! Sockets: non-blocking, closed on exec, without Nagle's delay.
 
 use std::net::SocketAddr;
-use std::os::fd::OwnedFd;
+use std::os::fd::{AsFd, OwnedFd};
+use std::time::Duration;
 
+use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 use rustix::net::{
     AddressFamily, SocketFlags, SocketType, accept_with, bind, connect, listen, socket_with, sockopt,
 };
 
+use crate::errno::{self, ErrorClass};
+
 const FLAGS: SocketFlags = SocketFlags::NONBLOCK.union(SocketFlags::CLOEXEC);
 
 /// Clients that the kernel lets wait to be accepted.
@@ -28,47 +32,92 @@
     Ok(socket)
 }
 
-/// The next client; `None` when there is none.
-pub fn accept(listener: &OwnedFd) -> Result<Option<OwnedFd>, Errno> {
-    loop {
-        match accept_with(listener, FLAGS) {
-            Ok(socket) => {
-                // One that its client has reset meanwhile is no failure of ours; reading it will tell.
-                let _ = sockopt::set_tcp_nodelay(&socket, true);
-                return Ok(Some(socket));
-            }
-            Err(Errno::AGAIN) => return Ok(None),
-            // A client that left while it waited is no reason to stop.
-            Err(Errno::INTR | Errno::CONNABORTED) => {}
-            Err(error) => return Err(error),
+/// At the start of the process a call that the machine can't do for a moment is tried this often ...
+const START_TRIES: u32 = 50;
+/// ... with this pause.
+const START_PAUSE: Duration = Duration::from_millis(10);
+
+/// Calls again while the machine lacks something for a moment. Only for the start: it waits.
+pub fn patiently<T>(mut call: impl FnMut() -> Result<T, Errno>) -> Result<T, Errno> {
+    for _ in 1..START_TRIES {
+        match call() {
+            Err(error) if errno::of_connect(error) == ErrorClass::RetryLater => {}
+            other => return other,
         }
+        std::thread::sleep(START_PAUSE);
     }
+    call()
+}
+
+/// The next client.
+pub fn accept(listener: &OwnedFd) -> Result<OwnedFd, Errno> {
+    let socket = accept_with(listener, FLAGS)?;
+    // One that its client has reset meanwhile is no failure of ours; reading it will tell.
+    let _ = sockopt::set_tcp_nodelay(&socket, true);
+    Ok(socket)
 }
 
-/// Whether the other side has ended its sending or reset the connection, whatever still lies unread.
+/// Whether the other side has ended its sending or reset the connection, whatever still lies unread. Where
+/// that can't be told for a moment: no.
 pub fn has_left(socket: &OwnedFd) -> bool {
-    is_now(socket, PollFlags::RDHUP)
+    is_now(socket, PollFlags::RDHUP).unwrap_or(false)
 }
 
 /// Whether a client waits to be accepted.
-pub fn has_client(listener: &OwnedFd) -> bool {
+pub fn has_client(listener: &OwnedFd) -> Result<bool, Errno> {
     is_now(listener, PollFlags::IN)
 }
 
-/// Whether any of these, an error or an end is to be seen on a socket, without waiting for it.
-fn is_now(socket: &OwnedFd, wanted: PollFlags) -> bool {
-    let mut look = [PollFd::new(socket, wanted)];
+/// Whether any of these, an error or an end is to be seen on a descriptor, without waiting for it.
+pub fn is_now(socket: impl AsFd, wanted: PollFlags) -> Result<bool, Errno> {
+    let mut look = [PollFd::new(&socket, wanted)];
     let none = Timespec { tv_sec: 0, tv_nsec: 0 };
-    let found = poll(&mut look, Some(&none));
-    found.is_ok() && look[0].revents().intersects(wanted | PollFlags::HUP | PollFlags::ERR)
+    poll(&mut look, Some(&none))?;
+    Ok(look[0].revents().intersects(wanted | PollFlags::HUP | PollFlags::ERR))
 }
 
 /// Starts a connection; it is up once the socket can be written to.
 pub fn dial(address: SocketAddr) -> Result<OwnedFd, Errno> {
     let socket = stream(address)?;
-    sockopt::set_tcp_nodelay(&socket, true)?;
+    let _ = sockopt::set_tcp_nodelay(&socket, true);
     match connect(&socket, &address) {
-        Ok(()) | Err(Errno::INPROGRESS) => Ok(socket),
-        Err(error) => Err(error),
+        Ok(()) => Ok(socket),
+        // Interrupted, a connection attempt goes on like one that is not awaited.
+        Err(error) => match errno::of_connect(error) {
+            ErrorClass::WouldBlock | ErrorClass::RetryNow => Ok(socket),
+            _ => Err(error),
+        },
+    }
+}
+
+/// The events that the loop is given for a socket.
+#[derive(Debug, Default)]
+pub struct Registration(Option<EventFlags>);
+
+impl Registration {
+    /// What is registered; nothing before the first success.
+    pub fn flags(&self) -> EventFlags {
+        self.0.unwrap_or(EventFlags::empty())
+    }
+
+    /// Registers what is wanted, if anything else is registered.
+    ///
+    /// # Errors
+    ///
+    /// What was registered before stays; the machine may lack memory for a moment.
+    pub fn set(
+        &mut self,
+        epoll: &OwnedFd,
+        socket: &OwnedFd,
+        token: EventData,
+        wanted: EventFlags,
+    ) -> Result<(), Errno> {
+        match self.0 {
+            Some(flags) if flags == wanted => return Ok(()),
+            Some(_) => epoll::modify(epoll, socket, token, wanted)?,
+            None => epoll::add(epoll, socket, token, wanted)?,
+        }
+        self.0 = Some(wanted);
+        Ok(())
     }
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -8,9 +8,8 @@
 
 use std::collections::VecDeque;
 use std::os::fd::OwnedFd;
-use std::os::unix::net::UnixStream;
 
-use kitefork::{Event, Nanos, Outcome, TimerId};
+use kitefork::{BackendId, Event, Nanos, Outcome, TimerId};
 use kitefork_settings::Deployment;
 use rustix::event::Timespec;
 use rustix::event::epoll::{self, EventData, EventFlags};
@@ -28,6 +27,7 @@
 use crate::req::{Order, Reqs};
 use crate::ring::Budget;
 use crate::rules::{Denial, Violation};
+use crate::signals::Signal;
 use crate::slots::Slots;
 use crate::wheel::Wheel;
 
@@ -40,6 +40,19 @@
 const STOPPED: Nanos = 250 * MS;
 /// A loop that wakes so much later than it wanted to has been stopped meanwhile.
 const LATE: Nanos = 50 * MS;
+/// What the machine could not do for a moment is tried again after this.
+const MIN_RETRY: Nanos = 2 * MS;
+
+/// An attempt whose connection the machine could not start for a moment.
+struct PostponedDial {
+    backend: BackendId,
+    job: Job,
+    until: Nanos,
+    write_by: Nanos,
+    /// Then it has failed, through no fault of the backend.
+    give_up: Nanos,
+}
+
 /// What hangs on the wheel.
 #[derive(Clone, Copy)]
 enum Due {
@@ -47,7 +60,11 @@
     NextMessage(u32),
     Req(u32),
     Fetch(u32),
+    ResumeFetch(u32),
+    Redial,
     Call(u32),
+    ResumeCall(u32),
+    Recall { watch: bool },
     Timer(TimerId),
     Accept,
     TrimSessions,
@@ -91,6 +108,9 @@
     queue_emptied: Nanos,
     queue_watched: Nanos,
     counters: Counters,
+    /// After this the next accept is tried where the machine lacks something.
+    accept_retry: Nanos,
+    postponed: Vec<PostponedDial>,
     wheel: Wheel<Due>,
     epoll: OwnedFd,
     log: Log,
@@ -101,7 +121,7 @@
     listener: Option<OwnedFd>,
     accepting: bool,
     /// Readable when the node is to end, and when it is to read its configuration anew.
-    signals: [UnixStream; 2],
+    signals: [Signal; 2],
     /// From SIGTERM on: when whatever waits gets its answer.
     ends: Option<Nanos>,
     /// SIGKILL is due: the process ends whatever is open.
@@ -129,9 +149,9 @@
 }
 
 impl Node {
-    /// Starts to listen. The first of `signals` becomes readable when the node is to end, the second when it
-    /// is to read its configuration anew.
-    pub fn start(config: Config, signals: [UnixStream; 2]) -> Result<Node, String> {
+    /// Starts to listen. The first of `signals` comes when the node is to end, the second when it is to read its
+    /// configuration anew.
+    pub fn start(config: Config, signals: [Signal; 2]) -> Result<Node, String> {
         let clock = Clock::start();
         let now = clock.read();
         let deployment = config.deployment;
@@ -151,14 +171,16 @@
         let trace = Trace::new(config.trace, clock.unix_zero);
         reqs.trace = trace;
         let wrong = |what: &'static str| move |e: Errno| format!("{what}: {e}");
-        let listener =
-            net::listener(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
+        let listener = net::patiently(|| net::listener(config.listen))
+            .map_err(|e| format!("listen on {}: {e}", config.listen))?;
         let listens: std::net::SocketAddr =
             rustix::net::getsockname(&listener).and_then(TryInto::try_into).map_err(wrong("getsockname"))?;
-        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(wrong("epoll"))?;
-        epoll::add(&epoll, &listener, token(LISTENER, 0), EventFlags::IN).map_err(wrong("epoll"))?;
+        let epoll = net::patiently(|| epoll::create(epoll::CreateFlags::CLOEXEC)).map_err(wrong("epoll"))?;
+        let add = || epoll::add(&epoll, &listener, token(LISTENER, 0), EventFlags::IN);
+        net::patiently(add).map_err(wrong("epoll"))?;
         for (signal, number) in signals.iter().zip([TERMINATE, RELOAD]) {
-            epoll::add(&epoll, signal, token(SIGNAL, number), EventFlags::IN).map_err(wrong("epoll"))?;
+            let add = || epoll::add(&epoll, &signal.wakes, token(SIGNAL, number), EventFlags::IN);
+            net::patiently(add).map_err(wrong("epoll"))?;
         }
         let mut node = Node {
             wheel: Wheel::new(tick, now),
@@ -167,6 +189,8 @@
             queue_emptied: now,
             queue_watched: now,
             counters: Counters::default(),
+            accept_retry: MIN_RETRY,
+            postponed: Vec::new(),
             clock,
             epoll,
             log: Log::default(),
@@ -245,6 +269,7 @@
                 self.on_socket(event);
                 self.settle();
             }
+            self.take_signals();
             for due in self.wheel.fire(self.now) {
                 self.on_due(due);
                 self.settle();
@@ -292,9 +317,19 @@
 
     fn on_signal(&mut self, number: u32) {
         let mut bytes = [0; 16];
-        let signal = &self.signals[number as usize];
-        while matches!(rustix::io::read(signal, &mut bytes), Ok(1..)) {}
-        if number == TERMINATE { self.begin_drain() } else { self.reload() }
+        let signal = &self.signals[number as usize].wakes;
+        while matches!(rustix::io::read(signal, &mut bytes), Ok(1..) | Err(Errno::INTR)) {}
+    }
+
+    /// Carries out the signals that have come, whether or not the byte that wakes the loop could be written.
+    fn take_signals(&mut self) {
+        if self.signals[TERMINATE as usize].take() {
+            self.begin_drain();
+        }
+        if self.signals[RELOAD as usize].take() {
+            self.reload();
+        }
+        self.settle();
     }
 
     fn on_due(&mut self, due: Due) {
@@ -307,7 +342,11 @@
                 }
             }
             Due::Fetch(number) => self.fetch_due(number),
+            Due::ResumeFetch(number) => self.go_on(number, false),
+            Due::Redial => self.redial(),
             Due::Call(number) => self.call_due(number),
+            Due::ResumeCall(number) => self.read_call(number, EventFlags::OUT),
+            Due::Recall { watch } => self.recall(watch),
             Due::Timer(timer) => self.reqs.feed(self.now, Event::Timer { timer }),
             Due::Accept => {
                 self.set_accepting(true);
@@ -351,6 +390,7 @@
                     if let Some(number) = found {
                         self.end_fetch(number, Outcome::Cancelled);
                     }
+                    self.drop_postponed(req);
                 }
                 Order::Answer { owner, answer } => self.give_synthetic(owner, answer),
                 Order::CloseIdle(backend) => self.close_idle(backend),
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -1,12 +1,13 @@
 //! The loop's side of fetches: starting attempts, the pool, and how attempts ended.
 
 use kitefork::{BackendId, Event, Nanos, Outcome};
-use rustix::event::epoll;
+use rustix::event::epoll::EventFlags;
 use rustix::io::Errno;
 
-use super::{BOTH, Due, FETCH, Node, READ, token};
+use super::{BOTH, Due, FETCH, MIN_RETRY, Node, PostponedDial, READ, token};
 use crate::client::HARDLY_MISSED;
 use crate::clock::MS;
+use crate::errno::{self, ErrorClass};
 use crate::fetch::{self, Fetch, Job, Progress, Reuse};
 use crate::http1;
 use crate::ledger::Purpose;
@@ -17,6 +18,15 @@
 /// A turn of the loop that has lasted longer than this has old news of its clients.
 const LONG_TURN: Nanos = 5 * MS;
 
+/// Why a connection to a backend could not be started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DialError {
+    /// The backend can't be reached or may not be sent to.
+    Backend,
+    /// This machine or process lacks something for a moment.
+    Local,
+}
+
 impl Node {
     pub(super) fn start_fetch(&mut self, backend: BackendId, job: Job, until: Nanos, write_by: Nanos) {
         // Its client may have left between the decision and here.
@@ -25,10 +35,19 @@
         {
             return self.report(job, Outcome::Moot, None);
         }
+        let connect_timeout = self.deployment.connect_timeout;
         let number = match self.connection(backend) {
             Ok(number) => number,
-            Err(outcome) => return self.report(job, outcome, None),
+            Err(DialError::Backend) => return self.report(job, Outcome::ConnectFailed, None),
+            Err(DialError::Local) => {
+                let give_up = until.min(write_by).min(self.now.saturating_add(connect_timeout));
+                return self.postpone(PostponedDial { backend, job, until, write_by, give_up });
+            }
         };
+        self.begin_fetch(number, job, until, write_by);
+    }
+
+    fn begin_fetch(&mut self, number: u32, job: Job, until: Nanos, write_by: Nanos) {
         let connect_timeout = self.deployment.connect_timeout;
         let Some(fetch) = self.fetches.get_mut(number) else { return };
         (fetch.job, fetch.until, fetch.write_by) = (Some(job), until, write_by);
@@ -40,6 +59,46 @@
         self.go_on(number, false);
     }
 
+    /// An attempt whose connection this machine can't start now is neither a failed one nor speaks against the
+    /// backend: it is tried again for as long as a connection may take.
+    fn postpone(&mut self, dial: PostponedDial) {
+        self.counters.add("dial", "postponed");
+        if self.postponed.is_empty() {
+            self.wheel.hang(self.now + MIN_RETRY, Due::Redial);
+        }
+        self.postponed.push(dial);
+    }
+
+    pub(super) fn redial(&mut self) {
+        for dial in std::mem::take(&mut self.postponed) {
+            let gone = matches!(dial.job, Job::Req { req, .. } if !self.reqs.waits(req));
+            if gone || self.now >= dial.give_up {
+                self.report(dial.job, Outcome::Moot, None);
+                continue;
+            }
+            match self.connection(dial.backend) {
+                Ok(number) => self.begin_fetch(number, dial.job, dial.until, dial.write_by),
+                Err(DialError::Backend) => self.report(dial.job, Outcome::ConnectFailed, None),
+                Err(DialError::Local) => self.postpone(dial),
+            }
+        }
+    }
+
+    /// Ends the postponed attempt of a request, if it has one: it never ran.
+    pub(super) fn drop_postponed(&mut self, req: u32) {
+        let of_req = |dial: &PostponedDial| matches!(dial.job, Job::Req { req: its, .. } if its == req);
+        if let Some(place) = self.postponed.iter().position(of_req) {
+            let dial = self.postponed.remove(place);
+            self.report(dial.job, Outcome::Moot, None);
+        }
+    }
+
+    /// Whether the attempt of a request that is out, if one is, has not been written whole and so never ran.
+    pub(super) fn is_unwritten(&self, req: u32) -> bool {
+        let of_req = |dial: &PostponedDial| matches!(dial.job, Job::Req { req: its, .. } if its == req);
+        self.postponed.iter().any(of_req) || self.fetches.iter().any(|(_, fetch)| fetch.is_unwritten_of(req))
+    }
+
     /// Begins the request of a connection that is up, if the rules still allow it by a fresh reading of the
     /// clock and of the client's connection.
     fn begin_request(&mut self, number: u32) {
@@ -93,10 +152,9 @@
         self.end_fetch(number, outcome);
     }
 
-    /// A connection to a backend: the newest idle one that is sound, or a new one. Without a descriptor for
-    /// it the attempt is moot, which says nothing of the backend.
-    pub(super) fn connection(&mut self, backend: BackendId) -> Result<u32, Outcome> {
-        let endpoint = self.fleet.endpoint(backend).ok_or(Outcome::ConnectFailed)?;
+    /// A connection to a backend: the newest idle one that is sound, or a new one.
+    fn connection(&mut self, backend: BackendId) -> Result<u32, DialError> {
+        let endpoint = self.fleet.endpoint(backend).ok_or(DialError::Backend)?;
         while let Some(number) = self.pool.take(backend, self.now) {
             let Some(fetch) = self.fetches.get_mut(number) else { continue };
             let sound = fetch.soundness();
@@ -110,23 +168,47 @@
         }
         if !self.room_for_fetch() {
             self.log.line(self.now, "fetches-full", format_args!("held={}", self.fetches.len()));
-            return Err(Outcome::Moot);
+            return Err(DialError::Local);
         }
         self.trace.line(self.now, format_args!("connect b={} held={}", backend.0, self.fetches.len()));
         let opened = net::dial(endpoint).and_then(|socket| {
-            let number = self.fetches.vacant().ok_or(Errno::MFILE)?;
-            epoll::add(&self.epoll, &socket, token(FETCH, number), BOTH)?;
-            self.fetches.insert(Fetch::new(socket, backend, BOTH, &self.budget)).ok_or(Errno::MFILE)
+            self.fetches.insert(Fetch::new(socket, backend, &self.budget)).ok_or(Errno::MFILE)
         });
         opened.map_err(|error| {
             self.log.line(self.now, "dial-failed", format_args!("backend={} {error}", backend.0));
-            match error {
-                Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM | Errno::NOSPC => Outcome::Moot,
-                _ => Outcome::ConnectFailed,
+            match errno::of_connect(error) {
+                ErrorClass::ConnectionLost => DialError::Backend,
+                _ => DialError::Local,
             }
         })
     }
 
+    /// Has the events given for a fetch that its phase wants; a little later where that fails now.
+    fn watch_fetch(&mut self, number: u32) {
+        let Some(fetch) = self.fetches.get_mut(number) else { return };
+        let wanted = match fetch.phase {
+            fetch::Phase::Connecting | fetch::Phase::Connected | fetch::Phase::Sending => BOTH,
+            fetch::Phase::Waiting | fetch::Phase::Idle => READ,
+        };
+        if let Err(error) = fetch.registration.set(&self.epoll, &fetch.socket, token(FETCH, number), wanted) {
+            self.log.line(self.now, "epoll-failed", error);
+            if errno::of_register(error) != ErrorClass::RetryLater {
+                let outcome = fetch.broken(Outcome::Reset);
+                return self.end_fetch(number, outcome);
+            }
+            self.wheel.hang(self.now + MIN_RETRY, Due::ResumeFetch(number));
+        }
+    }
+
+    /// The machine lacks something for a moment: the fetch is gone on with a little later, and has no event
+    /// before that, which would come without a pause.
+    fn retry_fetch(&mut self, number: u32) {
+        let Some(fetch) = self.fetches.get_mut(number) else { return };
+        // Where this fails too, events come early and find the same.
+        let _ = fetch.registration.set(&self.epoll, &fetch.socket, token(FETCH, number), EventFlags::empty());
+        self.wheel.hang(self.now + MIN_RETRY, Due::ResumeFetch(number));
+    }
+
     /// Whether another connection to a backend may be held; what can best be missed closes for it.
     fn room_for_fetch(&mut self) -> bool {
         if self.ledger.fits(Purpose::Fetch, self.fetches.len(), self.sessions.len()) {
@@ -155,15 +237,8 @@
         }
         match fetch.go_on(ready) {
             Progress::Connected => self.begin_request(number),
+            Progress::Later => self.retry_fetch(number),
             Progress::Going => {
-                let wanted = match fetch.phase {
-                    fetch::Phase::Connecting | fetch::Phase::Connected | fetch::Phase::Sending => BOTH,
-                    fetch::Phase::Waiting | fetch::Phase::Idle => READ,
-                };
-                if wanted != fetch.interest {
-                    fetch.interest = wanted;
-                    let _ = epoll::modify(&self.epoll, &fetch.socket, token(FETCH, number), wanted);
-                }
                 let by = match fetch.phase {
                     fetch::Phase::Waiting => fetch.until,
                     _ => fetch.until.min(fetch.write_by),
@@ -171,6 +246,7 @@
                 if fetch.phase != before {
                     fetch.deadline.set(by, &mut self.wheel, Due::Fetch(number));
                 }
+                self.watch_fetch(number);
             }
             Progress::Answered(head, body, reuse) => self.answered(number, &head, body, reuse),
             Progress::Failed(outcome) => self.end_fetch(number, outcome),
@@ -211,6 +287,7 @@
         if let Some(number) = found {
             self.end_fetch(number, Outcome::Moot);
         }
+        self.drop_postponed(req);
     }
 
     /// Closes a fetch's connection, and only then tells how its attempt ended.
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -1,16 +1,20 @@
 //! The loop's side of discovery: calls, and what their news does to connections.
 
 use kitefork::{Event, Nanos, Outcome};
-use rustix::event::epoll::{self, EventFlags};
+use rustix::event::epoll::EventFlags;
 use rustix::io::Errno;
 
-use super::{BOTH, CALL, Due, Node, READ, token};
+use super::{BOTH, CALL, Due, MIN_RETRY, Node, READ, token};
 use crate::clock::{MS, SECOND};
 use crate::config;
 use crate::discovery::{self, Age, Call, News, Update};
+use crate::errno::{self, ErrorClass};
 use crate::fetch::{self, Fetch};
 use crate::net;
+use crate::ring::Write;
 
+/// A call that this machine could not start for a moment is made after this.
+const CALL_RETRY: Nanos = 20 * MS;
 /// Where lists are pushed: a failed call is made again after this at first, doubling ...
 const SHORTEST: Nanos = 10 * MS;
 /// ... up to this.
@@ -98,19 +102,40 @@
         self.trace.line(self.now, format_args!("call watch={}", u8::from(watch)));
         let opened = net::dial(self.discovery).and_then(|socket| {
             let number = self.calls.vacant().ok_or(Errno::MFILE)?;
-            epoll::add(&self.epoll, &socket, token(CALL, number), BOTH)?;
             let mut call = Call::new(socket, watch, self.rev, self.discovery, self.now);
+            call.registration.set(&self.epoll, &call.socket, token(CALL, number), BOTH)?;
             let asked = self.deployment.settings.ask_list;
             let by = if asked { discovery::CONNECT } else { self.part_of_grace(2, discovery::CONNECT) };
             call.deadline.set(self.now + by, &mut self.wheel, Due::Call(number));
             self.calls.insert(call);
             Ok(())
         });
-        if let Err(error) = opened {
-            self.call_failed(error);
+        let Err(error) = opened else { return };
+        match errno::of_connect(error) {
+            ErrorClass::ConnectionLost => self.call_failed(error),
+            // Of this machine, for a moment: discovery has not failed, and its backoff would be too long.
+            _ => {
+                self.log.line(self.now, "call-postponed", error);
+                self.wheel.hang(self.now + CALL_RETRY, Due::Recall { watch });
+            }
         }
     }
 
+    /// Makes a call that the machine could not start before, unless a reload has made it meanwhile.
+    pub(super) fn recall(&mut self, watch: bool) {
+        if !watch || self.open_watch().is_none() {
+            self.call(watch);
+        }
+    }
+
+    /// The machine lacks something for a moment: the call is gone on with a little later, and has no event
+    /// before that, which would come without a pause.
+    fn retry_call(&mut self, number: u32) {
+        let Some(call) = self.calls.get_mut(number) else { return };
+        let _ = call.registration.set(&self.epoll, &call.socket, token(CALL, number), EventFlags::empty());
+        self.wheel.hang(self.now + MIN_RETRY, Due::ResumeCall(number));
+    }
+
     fn call_failed(&mut self, why: impl std::fmt::Display) {
         self.trace.line(self.now, format_args!("call-failed why={why}"));
         self.log.line(self.now, "discovery-failed", why);
@@ -137,17 +162,26 @@
         let Some(call) = self.calls.get_mut(number) else { return };
         if flags.intersects(EventFlags::OUT) && !call.outbox.is_empty() {
             // A connection that did not come up shows when it is read.
-            let _ = call.outbox.write_to(&call.socket);
+            if call.outbox.write_to(&call.socket) == Write::Later {
+                return self.retry_call(number);
+            }
             if call.outbox.is_empty() {
                 call.heard = self.now;
-                let _ = epoll::modify(&self.epoll, &call.socket, token(CALL, number), READ);
             }
         }
+        let wanted = if call.outbox.is_empty() { READ } else { BOTH };
+        if call.registration.set(&self.epoll, &call.socket, token(CALL, number), wanted).is_err() {
+            self.wheel.hang(self.now + MIN_RETRY, Due::ResumeCall(number));
+        }
         let news = call.read(self.now);
+        let later = news.later;
         if call.outbox.is_empty() {
             call.deadline.set(call.time_limit(), &mut self.wheel, Due::Call(number));
         }
         self.take_news(number, news);
+        if later {
+            self.retry_call(number);
+        }
     }
 
     pub(super) fn take_news(&mut self, number: u32, news: News) {
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -5,13 +5,15 @@
 use kitefork::Nanos;
 use rustix::event::epoll::{self, EventFlags};
 
-use super::{BOTH, Due, LEFT, LISTENER, Node, READ, SESSION, token};
+use super::{BOTH, Due, LEFT, LISTENER, MIN_RETRY, Node, READ, SESSION, token};
 use crate::client::{self, HARDLY_MISSED, Intake, Route, Session};
 use crate::clock::MS;
 use crate::counters::CloseReason;
+use crate::errno::{self, ErrorClass};
 use crate::ledger::Purpose;
 use crate::net;
 use crate::req::{Ask, Barred, Synthetic};
+use crate::ring::Write;
 use crate::rules::{self, ClosePermit, Denial, Violation};
 
 /// Answers to clients that have ended their sending behind their request.
@@ -27,9 +29,13 @@
         for _ in 0..=net::QUEUE {
             let Some(listener) = self.listener.as_ref().filter(|_| self.accepting) else { return };
             // No session is given up for nobody.
-            if !self.session_fits() && !net::has_client(listener) {
-                self.queue_emptied(self.now);
-                return;
+            if !self.session_fits() {
+                match net::has_client(listener) {
+                    Ok(true) => {}
+                    Ok(false) => return self.queue_emptied(self.now),
+                    // Not known now; the listener's event comes again.
+                    Err(_) => return self.retry_accept_later(),
+                }
             }
             if !self.room_for_session() {
                 self.log.line(self.now, "sessions-full", format_args!("held={}", self.sessions.len()));
@@ -37,16 +43,26 @@
             }
             let Some(listener) = &self.listener else { return };
             match net::accept(listener) {
-                Ok(Some(socket)) => self.open_session(socket),
-                Ok(None) => return self.queue_emptied(self.now),
-                Err(error) => {
-                    self.log.line(self.now, "accept-failed", error);
-                    // Out of descriptors: an idle session gives up its own. No spin on what can't be taken.
-                    if let Some((.., number)) = self.spare_session() {
-                        self.spare(number);
-                    }
-                    return self.pause_accepting();
+                Ok(socket) => {
+                    self.accept_retry = MIN_RETRY;
+                    self.open_session(socket);
                 }
+                Err(error) => match errno::of_accept(error) {
+                    ErrorClass::WouldBlock => return self.queue_emptied(self.now),
+                    ErrorClass::RetryNow => self.counters.add("accept", "client_gone"),
+                    ErrorClass::RetryLater => {
+                        self.log.line(self.now, "accept-failed", error);
+                        return self.retry_accept_later();
+                    }
+                    _ => {
+                        self.log.line(self.now, "accept-failed", error);
+                        // Out of descriptors: an idle session gives up its own. No spin on what can't be taken.
+                        if let Some((.., number)) = self.spare_session() {
+                            self.spare(number);
+                        }
+                        return self.pause_accepting();
+                    }
+                },
             }
         }
         // More wait than one turn takes: how long they have is not known any more.
@@ -58,6 +74,13 @@
         self.wheel.hang(self.now + ACCEPT_PAUSE, Due::Accept);
     }
 
+    /// The machine lacks something for a moment, and clients wait: soon at first, then ever more seldom.
+    fn retry_accept_later(&mut self) {
+        self.set_accepting(false);
+        self.wheel.hang(self.now + self.accept_retry, Due::Accept);
+        self.accept_retry = (self.accept_retry * 2).min(ACCEPT_PAUSE);
+    }
+
     /// When the accept queue was last seen empty: read so, or by a look of the loop while it is watched.
     fn queue_empty_at(&self) -> Nanos {
         let seen = if self.queue_watched <= self.looked { self.looked } else { 0 };
@@ -77,7 +100,11 @@
         self.queue_watched = Nanos::MAX;
         if let Some(listener) = &self.listener {
             let flags = if on { EventFlags::IN } else { EventFlags::empty() };
-            let _ = epoll::modify(&self.epoll, listener, token(LISTENER, 0), flags);
+            let registered = epoll::modify(&self.epoll, listener, token(LISTENER, 0), flags);
+            // Without its events no client would ever be taken again.
+            if on && registered.is_err() {
+                self.wheel.hang(self.now + MIN_RETRY, Due::Accept);
+            }
         }
     }
 
@@ -167,12 +194,10 @@
     }
 
     pub(super) fn open_session(&mut self, socket: OwnedFd) {
-        let Some(number) = self.sessions.vacant() else { return };
-        if let Err(error) = epoll::add(&self.epoll, &socket, token(SESSION, number), READ) {
-            return self.log.line(self.now, "epoll-failed", error);
-        }
         let queued = self.queue_empty_at();
-        self.sessions.insert(Session::new(socket, self.now, queued, READ, &self.budget));
+        let Some(number) = self.sessions.insert(Session::new(socket, self.now, queued, &self.budget)) else {
+            return;
+        };
         self.watch_sessions();
         self.read_session(number);
     }
@@ -226,11 +251,12 @@
     /// later: a client that sends without end must not hold the loop.
     pub(super) fn read_session(&mut self, number: u32) {
         let Some(session) = self.sessions.get_mut(number) else { return };
-        if !session.flush(self.now) {
+        if session.flush(self.now) == Write::Broken {
             return self.drop_session(number, CloseReason::Broken);
         }
         match session.read(self.now, self.looked) {
             Intake::Wait => {}
+            Intake::Later => return self.retry_session(number),
             Intake::Ended => return self.client_left(number),
             Intake::Broken => return self.drop_session(number, CloseReason::Broken),
             Intake::Bad(bad) => {
@@ -269,7 +295,7 @@
         session.left = true;
         if let Some(req) = session.req {
             // What is not written yet never runs.
-            let unwritten = self.fetches.iter().any(|(_, fetch)| fetch.is_unwritten_of(req));
+            let unwritten = self.is_unwritten(req);
             let untried = self.reqs.may_refuse(req, unwritten);
             self.reqs.gone(self.now, req);
             self.call_off(req);
@@ -362,10 +388,21 @@
         self.answered.push_back(number);
     }
 
+    /// The machine lacks something for a moment: the session is gone on with a little later, and has no event
+    /// before that, which would come without a pause.
+    fn retry_session(&mut self, number: u32) {
+        let Some(session) = self.sessions.get_mut(number) else { return };
+        // Where this fails too, events come early and find the same.
+        let _ = session.watch(&self.epoll, token(SESSION, number), EventFlags::empty(), self.now);
+        session.deadline.set(session.time_limit(), &mut self.wheel, Due::Session(number));
+        self.wheel.hang(self.now + MIN_RETRY, Due::NextMessage(number));
+    }
+
     /// Writes what there is to write, and looks for the right events and deadline.
     pub(super) fn settle_session(&mut self, number: u32) {
         let Some(session) = self.sessions.get_mut(number) else { return };
-        if !session.flush(self.now) {
+        let written = session.flush(self.now);
+        if written == Write::Broken {
             return self.drop_session(number, CloseReason::Broken);
         }
         if session.left && session.outbox.is_empty() && session.req.is_none() {
@@ -381,9 +418,15 @@
             (false, false) => BOTH,
             (false, true) => EventFlags::OUT | EventFlags::RDHUP,
         };
-        if wanted != session.interest {
-            session.set_interest(wanted, self.now);
-            let _ = epoll::modify(&self.epoll, &session.socket, token(SESSION, number), wanted);
+        if written == Write::Later {
+            return self.retry_session(number);
+        }
+        if let Err(error) = session.watch(&self.epoll, token(SESSION, number), wanted, self.now) {
+            self.log.line(self.now, "epoll-failed", error);
+            if errno::of_register(error) != ErrorClass::RetryLater {
+                return self.drop_session(number, CloseReason::Broken);
+            }
+            self.wheel.hang(self.now + MIN_RETRY, Due::NextMessage(number));
         }
         session.deadline.set(session.time_limit(), &mut self.wheel, Due::Session(number));
         if session.has_next() {
--- a/node/src/ring.rs
+++ b/node/src/ring.rs
@@ -6,9 +6,10 @@
 use std::os::fd::AsFd;
 use std::rc::Rc;
 
-use rustix::io::Errno;
 use rustix::net::{RecvFlags, SendFlags};
 
+use crate::errno::{self, ErrorClass};
+
 const START: usize = 2 * 1024;
 
 /// Bytes that all buffers together may hold. Buffers count themselves; bodies that come are turned down while
@@ -102,11 +103,25 @@
     Dry,
     /// The ring is at its cap.
     Full,
+    /// The machine lacks something for a moment.
+    Later,
     /// The other side has ended its sending.
     End,
     Broken,
 }
 
+/// What writing to a socket came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Write {
+    /// All is written.
+    Done,
+    /// The socket takes no more now.
+    Blocked,
+    /// The machine lacks something for a moment.
+    Later,
+    Broken,
+}
+
 impl Ring {
     pub fn new(cap: usize) -> Ring {
         Ring { budget: Budget::default(), store: Vec::new(), head: 0, len: 0, cap }
@@ -194,25 +209,31 @@
                     self.len += count;
                     Read::Some
                 }
-                Err(Errno::INTR) => continue,
-                Err(Errno::AGAIN) => Read::Dry,
-                Err(_) => Read::Broken,
+                Err(error) => match errno::of_transfer(error) {
+                    ErrorClass::RetryNow => continue,
+                    ErrorClass::WouldBlock => Read::Dry,
+                    ErrorClass::RetryLater => Read::Later,
+                    _ => Read::Broken,
+                },
             };
         }
     }
 
-    /// Writes as much as the socket takes; an error means that it has broken.
-    pub fn write_to(&mut self, socket: impl AsFd) -> Result<(), Errno> {
+    /// Writes as much as the socket takes.
+    pub fn write_to(&mut self, socket: impl AsFd) -> Write {
         while self.len > 0 {
             let end = (self.head + self.len).min(self.store.len());
             match rustix::net::send(&socket, &self.store[self.head..end], SendFlags::NOSIGNAL) {
                 Ok(count) => self.consume(count),
-                Err(Errno::INTR) => {}
-                Err(Errno::AGAIN) => return Ok(()),
-                Err(error) => return Err(error),
+                Err(error) => match errno::of_transfer(error) {
+                    ErrorClass::RetryNow => {}
+                    ErrorClass::WouldBlock => return Write::Blocked,
+                    ErrorClass::RetryLater => return Write::Later,
+                    _ => return Write::Broken,
+                },
             }
         }
-        Ok(())
+        Write::Done
     }
 }
 
@@ -255,7 +276,7 @@
     far.set_nonblocking(true).unwrap();
     let mut ring = Ring::new(10);
     assert!(ring.push(b"0123456789"));
-    ring.write_to(&near).unwrap();
+    assert_eq!(ring.write_to(&near), Write::Done);
     let mut into = Ring::new(4);
     assert_eq!((into.read_from(&far), into.bytes()), (Read::Some, &b"0123"[..]));
     assert_eq!(into.read_from(&far), Read::Full);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -295,6 +295,21 @@
         self.log = None;
     }
 
+    /// Processor time that the program has used.
+    pub fn cpu(&self) -> Duration {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.node.id())).unwrap();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        // User and system time, in hundredths of a second on Linux.
+        let hundredths: u64 = fields[11..=12].iter().map(|field| field.parse::<u64>().unwrap()).sum();
+        Duration::from_millis(hundredths * 10)
+    }
+
+    /// The program has not ended.
+    pub fn is_running(&self) -> bool {
+        std::fs::read_to_string(format!("/proc/{}/stat", self.node.id()))
+            .is_ok_and(|stat| !stat.rsplit(')').next().unwrap_or_default().trim().starts_with('Z'))
+    }
+
     /// How many descriptors the program holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.node.id())).unwrap().count()
--- a/node/tests/terms/faults.rs
+++ b/node/tests/terms/faults.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{EchoBackend, ask, world_of};
-use crate::common::{World, report};
+use crate::common::{Line, World, report, slow_to_connect};
 
 fn world(plan: &str) -> (World, EchoBackend) {
     world_of(|config| World::with_faults(plan, config))
@@ -62,3 +62,63 @@
         assert!(!idle.has_ended(), "{errno}: an idle session was given up");
     }
 }
+
+#[test]
+fn a_shortage_of_this_machine_neither_burns_an_attempt_nor_speaks_against_the_backend() {
+    for fault in ["connect=EADDRNOTAVAIL", "connect=ENETUNREACH", "socket=ENFILE", "epoll_ctl=ENOMEM"] {
+        let party = crate::common::Party::new();
+        let address = party.address();
+        let world = World::with_faults(&format!("{fault},from:300,to:700"), |config| {
+            slow_to_connect(config, address).replace(r#""maxAttempts":5"#, r#""maxAttempts":1"#)
+        });
+        let _backend = EchoBackend::serve(party);
+        let mut client = world.client();
+        client.send(crate::common::HEALTH).expect("ok\n");
+        crate::common::pass(400);
+        client.send(&report("once", 3_000)).expect("\r\n\r\nonce");
+        let log = world.last_log();
+        assert!(!log.contains("ejected"), "{fault}: {log}");
+    }
+}
+
+#[test]
+fn a_shortage_that_lasts_is_not_spun_on() {
+    for fault in ["send=ENOBUFS", "recv=ENOMEM", "accept=ENFILE", "connect=EADDRNOTAVAIL", "socket=ENOBUFS"] {
+        let (world, _backend) = world(&format!("{fault},from:300,to:1300"));
+        assert_eq!(ask(&world, 5), 5, "{fault}");
+        let mut clients: Vec<Line> = (0..5).map(|_| world.client()).collect();
+        crate::common::pass(400);
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send(&report(&format!("s{number}"), 4_000));
+        }
+        let before = world.cpu();
+        crate::common::pass(700);
+        let used = world.cpu() - before;
+        assert!(used < Duration::from_millis(200), "{fault}: {used:?} of a core in 0.7 s");
+        for (number, mut client) in clients.into_iter().enumerate() {
+            client.expect(&format!("\r\n\r\ns{number}"));
+        }
+    }
+}
+
+#[test]
+fn a_connection_that_breaks_with_any_errno_costs_its_own_client_only() {
+    for plan in [
+        "recv=ETIMEDOUT,chance:0.05",
+        "recv=EHOSTUNREACH,chance:0.05",
+        "send=EPIPE,chance:0.05",
+        "send=ETIMEDOUT,chance:0.05",
+        "connect=ECONNREFUSED,chance:0.3",
+        "connect=EHOSTUNREACH,chance:0.3",
+    ] {
+        let (world, _backend) = world(plan);
+        let answered = (0..120).filter(|number| {
+            let mut client = world.client();
+            client.send(&report(&format!("r{number}"), 3_000));
+            client.expect_or_end("\r\n\r\n").is_some()
+        });
+        let answered = answered.count();
+        assert!(answered >= 90, "{plan}: {answered} of 120 answered");
+        assert!(world.is_running(), "{plan}");
+    }
+}
