Three failing tests of a stepped wall clock; the trace tells the age that a backend is taken to have

Seen with the fault shim: clock an hour ahead at the start: a backend told as started on the open watch has no age at all (long ago); an hour behind: it lies 3,600 s ahead and is cold for an hour; machines stepped by 3 s while the node runs: 2 s ahead. The trace line `member` has age_ms.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -128,6 +128,8 @@
     state: BackendState,
     /// Its last start that was told.
     boot_ms: u64,
+    /// The same on the node's clock; `None`: long ago.
+    started: Option<Nanos>,
     /// When a list last said something new of it.
     told: Nanos,
 }
@@ -174,7 +176,8 @@
             let before = self.members.get(&backend.id);
             let moved = before.is_some_and(|before| before.endpoint != endpoint);
             let boot_ms = before.map_or(0, |before| before.boot_ms).max(entry.boot_ms);
-            self.members.insert(backend.id, Member { endpoint, state, boot_ms, told: now });
+            let started = backend.started;
+            self.members.insert(backend.id, Member { endpoint, state, boot_ms, started, told: now });
             if moved || backend.state != BackendState::Ready {
                 ends.push(backend.id);
             }
@@ -191,12 +194,15 @@
     }
 
     /// The entries of an update that was taken, with the numbers of their backends, for the trace.
-    pub fn lines<'a>(&'a self, update: &'a Update) -> impl Iterator<Item = String> + 'a {
-        update.entries.iter().filter_map(|entry| {
+    pub fn lines<'a>(&'a self, update: &'a Update, now: Nanos) -> impl Iterator<Item = String> + 'a {
+        update.entries.iter().filter_map(move |entry| {
             let (id, at) = (self.ids.get(&entry.uid)?, entry.endpoint.map_or("-".into(), |e| e.to_string()));
             let Entry { uid, zone, kind, cell, state, boot_ms, .. } = entry;
+            let started = self.members.get(id).and_then(|member| member.started);
+            let age_ms = started.map_or(-1, |at| (now as i64 - at as i64) / MS as i64);
             Some(format!(
-                "b={} uid={uid} at={at} az={zone} model={kind} cell={cell} state={state:?} boot_ms={boot_ms}",
+                "b={} uid={uid} at={at} az={zone} model={kind} cell={cell} state={state:?} boot_ms={boot_ms} \
+                 age_ms={age_ms}",
                 id.0
             ))
         })
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -221,7 +221,7 @@
         let (event, ends) = self.fleet.apply(self.now, &self.clock, update, age);
         if self.trace.is_on() {
             self.trace.line(self.now, format_args!("told rev={} all={}", update.rev, u8::from(update.all)));
-            for line in self.fleet.lines(update) {
+            for line in self.fleet.lines(update, self.now) {
                 self.trace.line(self.now, format_args!("member {line}"));
             }
         }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -272,8 +272,18 @@
 
     /// Starts it with the fault shim preloaded; `plan` is what the shim's `plan` module reads.
     pub fn with_faults(plan: &str, change: impl Fn(String) -> String) -> World {
+        World::with_faults_and(plan, &[], change)
+    }
+
+    /// The same with more variables in its environment.
+    pub fn with_faults_and(
+        plan: &str,
+        variables: &[(&str, &str)],
+        change: impl Fn(String) -> String,
+    ) -> World {
         let shim = fault_shim();
-        World::told(change, &[("LD_PRELOAD", &shim), ("KITEFORK_FAULTS", plan)])
+        let faults = [("LD_PRELOAD", shim.as_str()), ("KITEFORK_FAULTS", plan)];
+        World::told(change, &[&faults, variables].concat())
     }
 
     /// A client, while the node takes any.
--- /dev/null
+++ b/node/tests/terms/clock.rs
@@ -0,0 +1,80 @@
+//! The wall clock may be stepped; how old a backend is follows from what the node heard, and when.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::common::{Line, World, changes, entry, more_changes, pass};
+
+fn unix_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64
+}
+
+/// A backend's entry with the moment of its start.
+fn started(world: &World, uid: &str, boot_ms: i64) -> String {
+    entry(uid, world.backend.address(), "Ready").replace(r#""boot_ms":0"#, &format!(r#""boot_ms":{boot_ms}"#))
+}
+
+/// A node whose wall clock follows a plan, and its watch, on which its list has come.
+fn followed(plan: &str) -> (World, Line) {
+    let world = World::with_faults_and(plan, &[("BALANCER_TRACE", "1")], |config| config);
+    let mut watch = world.discovery.wait();
+    watch.expect("\r\n\r\n");
+    watch.send(&changes(8, &[entry("s-1", world.backend.address(), "Ready")]));
+    (world, watch)
+}
+
+/// The age in milliseconds that the node takes a backend to have when its list says this.
+fn age_ms(world: &mut World, uid: &str) -> i64 {
+    let lines = world.expect_log(&format!("uid={uid} "));
+    let line = lines.lines().rfind(|line| line.contains(&format!("uid={uid} "))).unwrap();
+    let age = line.split("age_ms=").nth(1).expect("an age").split(' ').next().unwrap();
+    age.parse().unwrap()
+}
+
+const HOUR_MS: i64 = 3_600_000;
+
+#[test]
+fn a_start_told_anew_on_an_open_watch_is_recent_whatever_the_clocks_say() {
+    // The node's clock is ahead from its start on; the machines' clocks are set back while it runs.
+    for (plan, machines) in [("clock=step:3600", 0), ("", -HOUR_MS)] {
+        let (mut world, mut watch) = followed(plan);
+        let boot = unix_ms() + machines - 500;
+        watch.send(&more_changes(9, &[started(&world, "s-2", boot)]));
+        let age = age_ms(&mut world, "s-2");
+        assert!((0..=6_000).contains(&age), "{plan} {machines}: {age} ms");
+    }
+}
+
+#[test]
+fn a_start_that_lies_ahead_is_not_later_than_the_moment_it_was_heard() {
+    for (plan, machines) in [("clock=step:-3600", 0), ("", HOUR_MS)] {
+        let (mut world, mut watch) = followed(plan);
+        watch.send(&more_changes(9, &[started(&world, "s-2", unix_ms() + machines)]));
+        let age = age_ms(&mut world, "s-2");
+        assert!((0..=100).contains(&age), "{plan} {machines}: {age} ms");
+    }
+}
+
+#[test]
+fn a_clock_that_is_stepped_while_the_node_runs_makes_no_backend_old() {
+    for step in [3, -3, 3_600, -3_600] {
+        let (mut world, mut watch) = followed(&format!("clock=step:{step},from:200"));
+        pass(400);
+        // All machines read one clock.
+        let boot = unix_ms() + step * 1_000 - 1_000;
+        watch.send(&more_changes(9, &[started(&world, "s-2", boot)]));
+        let age = age_ms(&mut world, "s-2");
+        assert!((0..=1_500).contains(&age), "{step}: {age} ms");
+    }
+}
+
+#[test]
+fn a_sound_clock_is_believed() {
+    let (mut world, mut watch) = followed("");
+    watch.send(&more_changes(9, &[started(&world, "s-2", unix_ms() - 3_000)]));
+    let age = age_ms(&mut world, "s-2");
+    assert!((2_900..=3_500).contains(&age), "{age} ms");
+    // Told again, it is as old as it was: nothing has started anew.
+    pass(Duration::from_millis(100).as_millis() as u64);
+    watch.send(&more_changes(10, &[started(&world, "s-3", 0)]));
+    assert_eq!(age_ms(&mut world, "s-3"), -1, "long ago has no age");
+}
--- a/node/tests/terms/mod.rs
+++ b/node/tests/terms/mod.rs
@@ -1,5 +1,6 @@
 //! The terms of `docs/design/terms.md`, each forced on real sockets.
 
+mod clock;
 mod deadline;
 mod faults;
 mod half_close;
