How old a backend is follows from what the node heard, and when, not from the wall clock alone

Cause: Clock::of_unix_ms took a start from the wall clock as it was at the node's start. Class: a span of time measured on a clock that can be stepped. Change: start_time.rs bounds a start by the moment it was heard and by the last moment at which the list was confirmed without it (less the 6 s by which lists may lag); of the clock as it was at the start and as it is now the one counts by which the backend is younger; each start is dated once. A restart whose boot_ms is lower than the last (clock set back) is a new start on a current list. Can't be known: a node that starts with a wrong clock believes it for its first list, but for starts ahead. On the way: whole lists no longer cost n x n compares. Siblings: the log's time stamps alone still follow the start's wall clock.

--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -4,6 +4,8 @@
 
 use kitefork::Nanos;
 
+use crate::start_time::Heard;
+
 pub const MS: Nanos = 1_000_000;
 pub const SECOND: Nanos = 1_000 * MS;
 
@@ -29,19 +31,9 @@
         HEAD_START + self.begun.elapsed().as_nanos() as Nanos
     }
 
-    /// Clock time of a moment in Unix milliseconds; `None`: long ago. Guards against a start before the
-    /// clock's zero that wraps round into the far future and makes a warm backend cold for ever.
-    pub fn of_unix_ms(&self, ms: u64) -> Option<Nanos> {
-        ms.saturating_mul(MS).checked_sub(self.unix_zero).filter(|at| *at > 0)
+    /// What is known at this moment for dating the starts of backends.
+    pub fn heard(&self, now: Nanos, confirmed: Option<Nanos>) -> Heard {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Heard { now, wall_now_ms: wall.as_millis() as u64, wall_at_zero: self.unix_zero, confirmed }
     }
 }
-
-#[test]
-fn a_start_before_the_clock_is_long_ago_and_a_recent_one_has_its_time() {
-    let clock = Clock::start();
-    let unix_ms = clock.unix_zero / MS + HEAD_START / MS;
-    assert_eq!(clock.of_unix_ms(0), None);
-    assert_eq!(clock.of_unix_ms(1_000), None);
-    let recent = clock.of_unix_ms(unix_ms - 3_000).unwrap();
-    assert!(clock.read() - recent >= 2_999 * MS);
-}
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the list of backends, and the calls that keep it up to date. One watch at most, resumed after
 //! the last version; whether and when to ask again is the decisions' business.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -9,10 +9,11 @@
 use kitefork::{Backend, BackendId, BackendState, CellId, Event, KindId, ListKind, Nanos, ZoneId};
 use kitefork_settings::json::{Fault, Place, Tree};
 
-use crate::clock::{Clock, MS, SECOND};
+use crate::clock::{MS, SECOND};
 use crate::http1::{self, Parser, Start};
 use crate::net::Registration;
 use crate::ring::{Read, Ring};
+use crate::start_time::{self, Heard};
 use crate::wheel::Deadline;
 
 /// A watch says something every 2 s, a call is answered or turned down within 3 s: a connection silent for
@@ -152,10 +153,11 @@
     /// those that are leaving and those that have moved. An older one is taken too, as its sender may have
     /// begun to count anew; but a backend that was told to leave is back only with a newer one, or a newer
     /// start.
-    pub fn apply(&mut self, now: Nanos, clock: &Clock, update: &Update, age: Age) -> (Event, Vec<BackendId>) {
+    pub fn apply(&mut self, heard: &Heard, update: &Update, age: Age) -> (Event, Vec<BackendId>) {
+        let now = heard.now;
         let mut ends = Vec::new();
         let mut backends: Vec<Backend> =
-            update.entries.iter().map(|entry| self.backend(clock, entry)).collect();
+            update.entries.iter().map(|entry| self.backend(heard, entry, age)).collect();
         for (entry, backend) in update.entries.iter().zip(&mut backends).filter(|_| age == Age::Older) {
             let left = self.members.get(&backend.id).filter(|member| entry.boot_ms <= member.boot_ms);
             if let Some(left) = left.filter(|member| member.state != BackendState::Ready) {
@@ -163,7 +165,7 @@
             }
         }
         if update.all {
-            let listed: Vec<BackendId> = backends.iter().map(|b| b.id).collect();
+            let listed: HashSet<BackendId> = backends.iter().map(|b| b.id).collect();
             for (id, member) in self.members.iter_mut().filter(|m| !listed.contains(m.0)) {
                 if member.state != BackendState::Gone {
                     ends.push(*id);
@@ -175,7 +177,10 @@
             let (endpoint, state) = (entry.endpoint, backend.state);
             let before = self.members.get(&backend.id);
             let moved = before.is_some_and(|before| before.endpoint != endpoint);
-            let boot_ms = before.map_or(0, |before| before.boot_ms).max(entry.boot_ms);
+            let boot_ms = match before {
+                Some(before) if !is_new_start(before, entry, age) => before.boot_ms,
+                _ => entry.boot_ms,
+            };
             let started = backend.started;
             self.members.insert(backend.id, Member { endpoint, state, boot_ms, started, told: now });
             if moved || backend.state != BackendState::Ready {
@@ -208,9 +213,15 @@
         })
     }
 
-    fn backend(&mut self, clock: &Clock, entry: &Entry) -> Backend {
+    fn backend(&mut self, heard: &Heard, entry: &Entry, age: Age) -> Backend {
         let id = *self.ids.entry(entry.uid.clone()).or_insert(BackendId(self.next));
         self.next += u32::from(id.0 == self.next);
+        // A start is dated once: clocks that are stepped later don't make it another.
+        let known = self.members.get(&id).filter(|member| !is_new_start(member, entry, age));
+        let started = match known {
+            Some(member) => member.started,
+            None => start_time::started_at(entry.boot_ms, heard),
+        };
         let mut hasher = fnv::FnvHasher::default();
         hasher.write(entry.uid.as_bytes());
         Backend {
@@ -221,11 +232,20 @@
             kind: KindId(place(&mut self.kinds, &entry.kind)),
             state: entry.state,
             weight: entry.weight,
-            started: clock.of_unix_ms(entry.boot_ms),
+            started,
         }
     }
 }
 
+/// Whether a list tells of another start than the one that is known. Where the wall clock was set back, a new
+/// start looks earlier than the old one; a list that is behind may still tell of an old one.
+fn is_new_start(known: &Member, entry: &Entry, age: Age) -> bool {
+    match age {
+        Age::Older => entry.boot_ms > known.boot_ms,
+        Age::Cached | Age::Current => entry.boot_ms != 0 && entry.boot_ms != known.boot_ms,
+    }
+}
+
 /// Place of a name in the settings' list. A name that they do not know yet gets a place of its own: a new
 /// kind of machine must not cost the whole list.
 fn place(names: &mut Vec<String>, name: &str) -> u16 {
@@ -407,6 +427,10 @@
         Update::parse(text.as_bytes()).unwrap()
     }
 
+    fn at(now: Nanos) -> Heard {
+        Heard { now, wall_now_ms: 0, wall_at_zero: 0, confirmed: None }
+    }
+
     fn ids(event: Event) -> Vec<u32> {
         let Event::List { backends, .. } = event else { panic!("{event:?}") };
         backends.iter().map(|b| b.id.0).collect()
@@ -414,32 +438,27 @@
 
     #[test]
     fn a_uid_keeps_its_number_and_connections_end_where_a_backend_leaves_or_moves() {
-        let (clock, mut fleet) = (Clock::start(), Fleet::new(vec![], vec![]));
+        let mut fleet = Fleet::new(vec![], vec![]);
         let (event, ends) = fleet.apply(
-            0,
-            &clock,
+            &at(0),
             &update(true, &[("a", 1, "Ready"), ("b", 2, "Ready"), ("c", 3, "Ready")]),
             Age::Cached,
         );
         assert_eq!((ids(event), ends), (vec![0, 1, 2], vec![]));
-        let (event, ends) = fleet.apply(
-            0,
-            &clock,
-            &update(false, &[("b", 9, "Ready"), ("c", 3, "Terminating")]),
-            Age::Current,
-        );
+        let (event, ends) =
+            fleet.apply(&at(0), &update(false, &[("b", 9, "Ready"), ("c", 3, "Terminating")]), Age::Current);
         assert_eq!((ids(event), ends), (vec![1, 2], vec![BackendId(1), BackendId(2)]));
         assert_eq!(fleet.endpoint(BackendId(1)).unwrap().port(), 9);
         assert_eq!(fleet.endpoint(BackendId(2)), None);
-        let (_, ends) = fleet.apply(0, &clock, &update(true, &[("b", 9, "Ready")]), Age::Current);
+        let (_, ends) = fleet.apply(&at(0), &update(true, &[("b", 9, "Ready")]), Age::Current);
         assert!(ends.contains(&BackendId(0)) && fleet.has_ready());
     }
 
     #[test]
     fn a_uid_has_the_same_mark_at_every_node_whatever_its_number() {
         let marks = |entries: &[(&str, u16, &str)]| {
-            let (clock, mut fleet) = (Clock::start(), Fleet::new(vec![], vec![]));
-            let (event, _) = fleet.apply(0, &clock, &update(true, entries), Age::Cached);
+            let mut fleet = Fleet::new(vec![], vec![]);
+            let (event, _) = fleet.apply(&at(0), &update(true, entries), Age::Cached);
             let Event::List { backends, .. } = event else { panic!("{event:?}") };
             backends.iter().map(|b| b.mark).collect::<Vec<_>>()
         };
@@ -451,21 +470,20 @@
 
     #[test]
     fn a_day_of_new_uids_is_forgotten_again_and_no_number_is_given_twice() {
-        let (clock, mut fleet) = (Clock::start(), Fleet::new(vec![], vec![]));
+        let mut fleet = Fleet::new(vec![], vec![]);
         let mut numbers = Vec::new();
         for turn in 0..1000 {
             let uid = format!("s-{turn}");
             let (event, _) =
-                fleet.apply(turn * SECOND, &clock, &update(true, &[(&uid, 1, "Ready")]), Age::Current);
+                fleet.apply(&at(turn * SECOND), &update(true, &[(&uid, 1, "Ready")]), Age::Current);
             numbers.extend(ids(event));
             assert!(fleet.members.len() <= 62 && fleet.ids.len() == fleet.members.len());
         }
         numbers.dedup();
         assert!(numbers.is_sorted() && numbers.len() == 1000);
         // One that comes back soon is the same, one that comes back late is new.
-        let mut again = |uid| {
-            ids(fleet.apply(1000 * SECOND, &clock, &update(true, &[(uid, 1, "Ready")]), Age::Current).0)
-        };
+        let mut again =
+            |uid| ids(fleet.apply(&at(1000 * SECOND), &update(true, &[(uid, 1, "Ready")]), Age::Current).0);
         assert_eq!((again("s-990"), again("s-3")), (vec![990], vec![1000]));
     }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -20,6 +20,7 @@
 mod rules;
 mod signals;
 mod slots;
+mod start_time;
 mod wheel;
 
 use std::process::ExitCode;
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -139,6 +139,8 @@
     pool: Pool,
     calls: Slots<Call>,
     rev: u64,
+    /// When discovery last said something, be it that nothing has changed.
+    confirmed: Option<Nanos>,
     /// The next call to discovery waits, for the decisions or, where lists are pushed, on the wheel.
     backing_off: bool,
     /// Only where lists are pushed: discovery has spoken since the start, and how many calls in a row failed.
@@ -210,6 +212,7 @@
             pool: Pool::default(),
             calls: Slots::new(4),
             rev: config.known.rev,
+            confirmed: None,
             backing_off: false,
             informed: deployment.settings.ask_list,
             failed_calls: 0,
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -194,6 +194,11 @@
         }
         for update in &news.updates {
             self.take_update(update);
+            // The next one tells what has changed since.
+            self.confirmed = Some(self.now);
+        }
+        if news.spoke {
+            self.confirmed = Some(self.now);
         }
         if let Some(why) = news.over.filter(|_| !news.well) {
             self.call_failed(why);
@@ -218,7 +223,8 @@
 
     pub(super) fn take_list(&mut self, update: &Update, age: Age) {
         self.rev = update.rev;
-        let (event, ends) = self.fleet.apply(self.now, &self.clock, update, age);
+        let heard = self.clock.heard(self.now, self.confirmed);
+        let (event, ends) = self.fleet.apply(&heard, update, age);
         if self.trace.is_on() {
             self.trace.line(self.now, format_args!("told rev={} all={}", update.rev, u8::from(update.all)));
             for line in self.fleet.lines(update, self.now) {
--- /dev/null
+++ b/node/src/start_time.rs
@@ -0,0 +1,53 @@
+//! When a backend started, on the node's own monotonic clock.
+//!
+//! Lists give a start as wall-clock time, and any wall clock may be stepped. So what the list says is bounded
+//! by what the node itself has heard, and when: a start is not later than the moment it was heard, and where
+//! the node knew an earlier state of the backend, not much earlier than that. Of two readings that remain, the
+//! later one counts: a backend that is taken for younger than it is gets less for some seconds; one that is
+//! taken for older may be pushed over.
+//!
+//! What can't be known: a node that starts with a wrong clock has heard nothing before its first list. It
+//! believes its clock then, but for starts that lie ahead.
+
+use kitefork::Nanos;
+
+use crate::clock::{MS, SECOND};
+
+/// A change counts as notified at the latest this long after the list service had it (protocol page), so
+/// what a list tells as new had not been so for much longer.
+const MOST_LIST_LAG: Nanos = 6 * SECOND;
+
+/// What the node knows when it hears of a start.
+#[derive(Debug, Clone, Copy)]
+pub struct Heard {
+    /// Now, on the monotonic clock.
+    pub now: Nanos,
+    /// Wall-clock time now, in Unix milliseconds.
+    pub wall_now_ms: u64,
+    /// Wall-clock time at the monotonic clock's zero, in nanoseconds, as the node's start had it.
+    pub wall_at_zero: Nanos,
+    /// When the list was last confirmed without this start; `None` before the first list.
+    pub confirmed: Option<Nanos>,
+}
+
+/// When a backend started whose list entry has this `boot_ms`; `None`: long ago.
+pub fn started_at(boot_ms: u64, heard: &Heard) -> Option<Nanos> {
+    if boot_ms == 0 {
+        return None;
+    }
+    let age_by_wall = heard.wall_now_ms.saturating_sub(boot_ms).saturating_mul(MS);
+    let by_wall = heard.now.checked_sub(age_by_wall);
+    let by_start = boot_ms.saturating_mul(MS).checked_sub(heard.wall_at_zero);
+    // A start that lies ahead is not later than the moment it was heard.
+    let started = by_wall.max(by_start).map(|at| at.min(heard.now)).filter(|at| *at > 0);
+    let earliest = heard.confirmed.map(|at| at.saturating_sub(MOST_LIST_LAG));
+    match earliest {
+        // The clocks contradict what the node has heard: nothing is known but that it is new.
+        Some(earliest) if started.is_none_or(|at| at < earliest) => Some(heard.now),
+        _ => started,
+    }
+}
+
+#[cfg(test)]
+#[path = "start_time_tests.rs"]
+mod tests;
--- /dev/null
+++ b/node/src/start_time_tests.rs
@@ -0,0 +1,50 @@
+//! Starts as lists tell them, under sound and stepped clocks.
+
+use super::*;
+
+const ZERO_MS: u64 = 10_000_000_000;
+const NOW: Nanos = 100 * SECOND;
+const NOW_MS: u64 = ZERO_MS + NOW / MS;
+
+/// A node whose wall clock has gone on evenly, and whose list was confirmed a second ago.
+fn heard() -> Heard {
+    Heard { now: NOW, wall_now_ms: NOW_MS, wall_at_zero: ZERO_MS * MS, confirmed: Some(NOW - SECOND) }
+}
+
+#[test]
+fn a_sound_clock_is_believed() {
+    assert_eq!(started_at(0, &heard()), None);
+    assert_eq!(started_at(NOW_MS - 3_000, &heard()), Some(NOW - 3 * SECOND));
+    let at_start = Heard { confirmed: None, ..heard() };
+    assert_eq!(started_at(NOW_MS - 50_000, &at_start), Some(NOW - 50 * SECOND));
+    assert_eq!(started_at(1, &at_start), None);
+}
+
+#[test]
+fn a_start_that_lies_ahead_is_heard_now() {
+    for boot_ms in [NOW_MS + 1, NOW_MS + 3_600_000, u64::MAX] {
+        assert_eq!(started_at(boot_ms, &heard()), Some(NOW), "{boot_ms}");
+    }
+}
+
+#[test]
+fn what_is_new_on_a_list_that_was_confirmed_is_recent() {
+    for boot_ms in [1, NOW_MS - 3_600_000, NOW_MS - 7_001] {
+        assert_eq!(started_at(boot_ms, &heard()), Some(NOW), "{boot_ms}");
+    }
+    assert_eq!(started_at(NOW_MS - 7_000, &heard()), Some(NOW - 7 * SECOND));
+}
+
+#[test]
+fn of_two_clocks_that_differ_the_one_by_which_it_is_younger_counts() {
+    // Every machine was stepped, or this one alone: forward and back.
+    for (wall_now_ms, boot_ms, wanted) in [
+        (NOW_MS + 3_000, NOW_MS + 3_000 - 1_000, NOW),
+        (NOW_MS - 3_600_000, NOW_MS - 3_600_000 - 1_000, NOW - SECOND),
+        (NOW_MS + 3_600_000, NOW_MS - 1_000, NOW - SECOND),
+        (NOW_MS - 3_000, NOW_MS - 1_000, NOW),
+    ] {
+        let heard = Heard { wall_now_ms, ..heard() };
+        assert_eq!(started_at(boot_ms, &heard), Some(wanted), "{wall_now_ms} {boot_ms}");
+    }
+}
