--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # CONFIG names the configuration file that `make run` starts with.
 CONFIG ?= config.json
 
-.PHONY: build test lint run rig fleet fleet-small
+.PHONY: build test lint run rig fleet fleet-small scale
 
 build:
 	cargo build --release --locked
@@ -26,3 +26,7 @@
 # The same at the size in the files.
 fleet: rig
 	for file in scenarios/*.toml; do target/release/kitefork-rig run $$file || exit 1; done
+
+# One node with 200 and with 3,200 backends under the same traffic: what it needs may grow only so far.
+scale: rig
+	target/release/kitefork-rig scale
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod node;
 pub mod referee;
+pub mod scale;
 pub mod scenario;
 pub mod world;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use kitefork_rig::scale;
 use kitefork_rig::scenario::Scenario;
 use kitefork_rig::world::{self, Report};
 
@@ -43,6 +44,16 @@
         #[arg(long)]
         nodes: Option<usize>,
     },
+    /// Plays one node with a short and with a long list of backends, and holds the acceptance's allowances;
+    /// exit code 1 if one is passed.
+    Scale {
+        /// The program that the node runs.
+        #[arg(long, default_value = "target/release/kitefork")]
+        program: PathBuf,
+        /// Plays of each size; the median of each figure counts.
+        #[arg(long, default_value_t = 3)]
+        rounds: u64,
+    },
     /// Lists the scenarios of a folder.
     List {
         #[arg(default_value = "scenarios")]
@@ -70,6 +81,35 @@
     report.map_err(|error| format!("{}: {error}", program.display()))
 }
 
+fn run_scale(program: &Path, rounds: u64) -> Result<bool, String> {
+    let mut medians = Vec::new();
+    for backends in scale::SIZES {
+        let mut found: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+        for round in 0..rounds.max(1) {
+            let report = play(&scale::scenario(backends, round + 1), program)?;
+            if let Some(story) = report.broken.first().or(report.panics.first()) {
+                return Err(format!("{backends} backends: {story}"));
+            }
+            for (name, value) in report.figures {
+                found.entry(name).or_default().push(value);
+            }
+        }
+        let median = |mut values: Vec<f64>| {
+            values.sort_by(f64::total_cmp);
+            values[values.len() / 2]
+        };
+        medians
+            .push(found.into_iter().map(|(name, values)| (name, median(values))).collect::<BTreeMap<_, _>>());
+    }
+    let rows = scale::compare(&medians[0], &medians[1]);
+    println!("{:<18} {:>10} {:>10} {:>10}", "figure", scale::SIZES[0], scale::SIZES[1], "bound");
+    for row in &rows {
+        let verdict = if row.holds { "" } else { "  PASSED ITS BOUND" };
+        println!("{:<18} {:>10.3} {:>10.3} {:>10.3}{verdict}", row.figure, row.usual, row.longer, row.bound);
+    }
+    Ok(rows.iter().all(|row| row.holds))
+}
+
 fn print(report: &Report) {
     println!(" s  calls failed fresh  asked in-time refused attempts");
     for (s, row) in report.seconds.iter().enumerate() {
@@ -132,6 +172,7 @@
             }
             Ok(true)
         }
+        Command::Scale { program, rounds } => run_scale(&program, rounds),
         Command::List { folder } => {
             let listed =
                 std::fs::read_dir(&folder).map_err(|error| format!("{}: {error}", folder.display()))?;
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -164,10 +164,14 @@
     /// Seconds of a core that it has used, while it runs.
     pub fn cpu_s(&self) -> Option<f64> {
         let id = self.child.as_ref()?.id()?;
-        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
-        let after = stat.rsplit(')').next()?;
-        let ticks = |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok());
-        // User and system time, in hundredths on Linux.
-        Some((ticks(11)? + ticks(12)?) / 100.0)
+        // The kernel's scheduler counts nanoseconds; the node has one thread.
+        let stat = std::fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
+        Some(stat.split_whitespace().next()?.parse::<f64>().ok()? / 1e9)
+    }
+
+    /// Descriptors that it holds, while it runs.
+    pub fn descriptors(&self) -> Option<usize> {
+        let id = self.child.as_ref()?.id()?;
+        Some(std::fs::read_dir(format!("/proc/{id}/fd")).ok()?.count())
     }
 }
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -87,6 +87,7 @@
     starts: Mutex<Vec<(String, Duration)>>,
     most_memory: Mutex<BTreeMap<usize, f64>>,
     cpu: Mutex<BTreeMap<usize, f64>>,
+    most_descriptors: Mutex<usize>,
 }
 
 fn zone(scenario: &Scenario, number: usize) -> usize {
@@ -146,6 +147,7 @@
         starts: Mutex::default(),
         most_memory: Mutex::default(),
         cpu: Mutex::default(),
+        most_descriptors: Mutex::default(),
     });
     for number in 0..scenario.fleet.nodes {
         let known = parties.first_known();
@@ -358,6 +360,10 @@
                 let most = most.entry(node.number).or_default();
                 *most = memory.max(*most);
             }
+            if let Some(count) = node.descriptors() {
+                let mut most = locked(&self.most_descriptors);
+                *most = count.max(*most);
+            }
             if let Some(cpu) = node.cpu_s() {
                 locked(&self.cpu).insert(node.number, cpu);
             }
@@ -465,6 +471,8 @@
         put("lives", ledgers.lives.len() as f64);
         let most = locked(&self.most_memory);
         put("memory_mb_most", most.values().copied().fold(0.0, f64::max));
+        put("descriptors_most", *locked(&self.most_descriptors) as f64);
+        put("list_kb", self.list.bytes_written() as f64 / 1e3);
         let cpu = locked(&self.cpu);
         put("cpu_s_mean", cpu.values().sum::<f64>() / cpu.len().max(1) as f64);
         figures
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -116,6 +116,7 @@
     free_at: Duration,
     calls: Vec<Call>,
     told: Vec<Told>,
+    bytes_written: u64,
     /// Changes by version, kept for the referee.
     changes: Vec<(u64, Duration, Entry)>,
 }
@@ -147,6 +148,7 @@
             free_at: Duration::ZERO,
             calls: Vec::new(),
             told: Vec::new(),
+            bytes_written: 0,
             changes: Vec::new(),
         };
         Arc::new(ListService { clock, capacity, inner: Mutex::new(inner), rev: watch::Sender::new(1) })
@@ -220,6 +222,11 @@
         self.inner().told.clone()
     }
 
+    /// Bytes of lists and changes written to nodes so far.
+    pub fn bytes_written(&self) -> u64 {
+        self.inner().bytes_written
+    }
+
     /// Version, time and entry of each change so far.
     pub fn changes(&self) -> Vec<(u64, Duration, Entry)> {
         self.inner().changes.clone()
@@ -312,6 +319,7 @@
             news.mark_unchanged();
             let (mut rev, _, first) = service.update(after.filter(|_| watch));
             service.wrote(node, &link, rev);
+            service.inner().bytes_written += first.len() as u64;
             let mut sent = sender.send_data(first).await;
             while watch && sent.is_ok() {
                 // Only whether it has changed goes on: the guard that comes with it would hold off a change.
@@ -327,6 +335,7 @@
                     }
                     () = tokio::time::sleep(Duration::from_secs(2)) => Bytes::from_static(b"\n"),
                 };
+                service.inner().bytes_written += line.len() as u64;
                 sent = sender.send_data(line).await;
             }
         });
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,293 @@
+//! A deterministic world of backends that work first come, first served, for tests of what many nodes do
+//! together; no sockets and no wall clock.
+
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use kitefork::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+pub const MS: Nanos = 1_000_000;
+pub const SECOND: Nanos = 1_000 * MS;
+pub const START: Nanos = 3_600 * SECOND;
+/// Fleet sizes that each scenario is played with: the same code and figures serve all of them.
+pub const NODES: [usize; 4] = [2, 10, 100, 300];
+/// Mean work of a request on a backend at full strength.
+pub const WORK: Nanos = 40 * MS;
+/// Attempts that a backend holds before it turns others away.
+pub const QUEUE: Nanos = 15;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Coming {
+    Arrival,
+    Timer { node: usize, timer: TimerId },
+    End { node: usize, request: u32, attempt: usize, outcome: u8 },
+}
+
+/// How a backend is doing.
+#[derive(Clone, Copy)]
+pub enum Health {
+    /// Its strength, 1 when warm.
+    Works(f64),
+    /// It turns all away at once, as one that is leaving does.
+    Leaving,
+    /// It takes all and answers none.
+    Swallows,
+}
+
+pub const ENDS: [Outcome; 4] = [Outcome::Ok, Outcome::Full, Outcome::Timeout, Outcome::Cancelled];
+
+/// What became of a request, its node, and each of its attempts: when, where, and whether it is still out.
+#[derive(Clone)]
+pub struct Fate {
+    pub node: usize,
+    pub class: usize,
+    pub asked: Nanos,
+    pub served: Option<Nanos>,
+    pub attempts: Vec<(Nanos, BackendId, bool)>,
+}
+
+impl Fate {
+    /// It was not started at once.
+    pub fn held(&self) -> bool {
+        self.attempts.first().is_none_or(|first| first.0 > self.asked)
+    }
+}
+
+pub struct World {
+    pub nodes: Vec<Balancer>,
+    pub settings: Settings,
+    /// Mean work of each class, and the share of the last class.
+    pub work: Vec<Nanos>,
+    pub last_share: f64,
+    /// Backlog of which a backend's time above is counted: since when, until when, and the longest.
+    pub deep: Nanos,
+    pub above: BTreeMap<BackendId, (Nanos, Nanos)>,
+    pub longest: Nanos,
+    /// Reqs that were not started at once though some backend had nothing to do.
+    pub beside_idle: usize,
+    /// A node that is down.
+    pub down: Option<usize>,
+    /// For each backend: when it has worked off what it holds.
+    pub free_at: BTreeMap<BackendId, Nanos>,
+    pub health: fn(BackendId, Nanos) -> Health,
+    pub now: Nanos,
+    pub coming: BinaryHeap<Reverse<(Nanos, u64, Coming)>>,
+    pub turn: u64,
+    pub rng: Xoshiro256PlusPlus,
+    /// The first node gets this many times the mean more than the others.
+    pub busier: u64,
+    pub fates: BTreeMap<u32, Fate>,
+    /// Time that the nodes' decisions have taken, by the wall clock.
+    pub spent: std::time::Duration,
+}
+
+pub fn settings(nodes: usize) -> Settings {
+    let effect = Effect::Keyed { group: Group::Cell, window: 3 * SECOND };
+    let (aim, deadline) = (300 * MS, 1_670 * MS);
+    let class = Class { aim, deadline, worth: 1.0, late_worth: 0.3, effect, ..Class::default() };
+    let mut settings =
+        Settings { classes: vec![class], siblings: nodes as u32, ask_list: true, ..Settings::default() };
+    settings.limits.max_attempts = 5;
+    settings.limits.max_retry_after = 2 * SECOND;
+    settings.limits.untried = 0.5;
+    settings.rules.cold_from = 0.31;
+    settings.rules.cold = 8_800 * MS;
+    settings.rules.fall_multiple = 3.0;
+    settings.rules.fall = 2 * SECOND;
+    settings
+}
+
+pub fn backend(id: u32) -> Backend {
+    let (zone, cell) = (ZoneId((id % 2) as u16), CellId((id % 6) as u16));
+    // Marks tell nothing of place or age, as the node's hash of a uid does not.
+    let (id, mark) = (BackendId(id), u64::from(id).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    Backend { id, mark, zone, cell, state: BackendState::Ready, weight: 1.0, ..Backend::default() }
+}
+
+impl World {
+    pub fn new(nodes: usize, backends: &[Backend]) -> World {
+        World::seeded(nodes, backends, 1)
+    }
+
+    pub fn seeded(nodes: usize, backends: &[Backend], seed: u64) -> World {
+        World::of(settings(nodes), vec![WORK], nodes, backends, seed)
+    }
+
+    pub fn of(settings: Settings, work: Vec<Nanos>, nodes: usize, backends: &[Backend], seed: u64) -> World {
+        let zone = |node: usize| ZoneId((node % 2) as u16);
+        let balancer = |node| {
+            let settings = Settings { zone: zone(node), me: node as u32, ..settings.clone() };
+            Balancer::new(settings, seed + node as u64, START).expect("sound settings")
+        };
+        let mut world = World {
+            nodes: (0..nodes).map(balancer).collect(),
+            settings: settings.clone(),
+            work,
+            last_share: 0.0,
+            deep: Nanos::MAX,
+            above: BTreeMap::new(),
+            longest: 0,
+            beside_idle: 0,
+            down: None,
+            free_at: backends.iter().map(|b| (b.id, START)).collect(),
+            health: |_, _| Health::Works(1.0),
+            now: START,
+            coming: BinaryHeap::new(),
+            turn: 0,
+            rng: Xoshiro256PlusPlus::seed_from_u64(20_261_201),
+            busier: 0,
+            fates: BTreeMap::new(),
+            spent: std::time::Duration::ZERO,
+        };
+        world.tell(ListKind::Cached, backends);
+        world
+    }
+
+    /// Tells every node.
+    pub fn tell(&mut self, kind: ListKind, backends: &[Backend]) {
+        for node in 0..self.nodes.len() {
+            self.give(node, Event::List { kind, backends: backends.to_vec() });
+        }
+    }
+
+    pub fn unit(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    pub fn exponential(&mut self, mean: f64) -> Nanos {
+        (-mean * (1.0 - self.unit()).ln()) as Nanos
+    }
+
+    pub fn plan(&mut self, at: Nanos, what: Coming) {
+        self.turn += 1;
+        self.coming.push(Reverse((at, self.turn, what)));
+    }
+
+    pub fn give(&mut self, node: usize, event: Event) {
+        let mut actions = Vec::new();
+        let began = std::time::Instant::now();
+        self.nodes[node].handle(self.now, event, &mut actions);
+        self.spent += began.elapsed();
+        for action in actions {
+            match action {
+                Action::SetTimer { at, timer } => self.plan(at, Coming::Timer { node, timer }),
+                Action::Send { request, backend, until } => self.send(node, request.0, backend, until),
+                Action::Cancel { request, attempt } => {
+                    let attempt = usize::from(attempt);
+                    self.plan(self.now, Coming::End { node, request: request.0, attempt, outcome: 3 });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn send(&mut self, node: usize, request: u32, backend: BackendId, until: Nanos) {
+        let class = self.fates[&request].class;
+        let work = self.exponential(self.work[class] as f64);
+        let queue = QUEUE * self.work.iter().max().expect("a class");
+        let now = self.now;
+        let fate = self.fates.get_mut(&request).expect("asked");
+        let attempt = fate.attempts.len();
+        fate.attempts.push((now, backend, true));
+        let free_at = self.free_at.get_mut(&backend).expect("listed");
+        let (at, outcome) = match (self.health)(backend, now) {
+            Health::Works(strength) if *free_at <= now + queue => {
+                *free_at = (*free_at).max(now) + (work as f64 / strength) as Nanos;
+                if *free_at > now.saturating_add(self.deep) {
+                    // It falls under the mark when it has worked off what is above.
+                    let (since, end) =
+                        self.above.get(&backend).copied().filter(|a| a.1 >= now).unwrap_or((now, 0));
+                    let end = end.max(*free_at - self.deep);
+                    self.above.insert(backend, (since, end));
+                    self.longest = self.longest.max(end - since);
+                }
+                if *free_at < until { (*free_at, 0) } else { (until, 2) }
+            }
+            Health::Swallows => (until, 2),
+            _ => (now + MS, 1),
+        };
+        self.plan(at, Coming::End { node, request, attempt, outcome });
+    }
+
+    pub fn end(&mut self, node: usize, request: u32, attempt: usize, outcome: Outcome) {
+        let now = self.now;
+        let fate = self.fates.get_mut(&request).expect("asked");
+        let (sent, _, out) = &mut fate.attempts[attempt];
+        if !std::mem::replace(out, false) {
+            return;
+        }
+        let latency = now - *sent;
+        let finished = outcome == Outcome::Ok;
+        fate.served = finished.then_some(now);
+        let (request, attempt, load) = (RequestId(request), attempt as u8, Vec::new());
+        self.give(node, Event::Outcome { request, attempt, latency, outcome, finished, load });
+    }
+
+    /// Goes on for `span`, with Poisson arrivals of `rate` requests a second over the fleet.
+    pub fn run(&mut self, span: Nanos, rate: f64) {
+        let end = self.now + span;
+        let gap = SECOND as f64 / rate;
+        let first = self.now + self.exponential(gap);
+        self.plan(first, Coming::Arrival);
+        while let Some(Reverse((at, ..))) = self.coming.peek().copied().filter(|next| next.0.0 <= end) {
+            let Some(Reverse((.., what))) = self.coming.pop() else { return };
+            self.now = self.now.max(at);
+            match what {
+                Coming::Arrival => {
+                    let next = self.now + self.exponential(gap);
+                    if next < end {
+                        self.plan(next, Coming::Arrival);
+                    }
+                    self.ask();
+                }
+                Coming::Timer { node, timer } => self.give(node, Event::Timer { timer }),
+                Coming::End { node, request, attempt, outcome } => {
+                    self.end(node, request, attempt, ENDS[usize::from(outcome)]);
+                }
+            }
+        }
+        self.now = end;
+    }
+
+    pub fn ask(&mut self) {
+        let ticket = self.rng.next_u64() % (self.nodes.len() as u64 + self.busier);
+        let node = ticket.saturating_sub(self.busier) as usize;
+        // The front has clients of a node that is down go to the next one.
+        let node = if self.down == Some(node) { (node + 1) % self.nodes.len() } else { node };
+        let last = self.last_share > 0.0 && self.unit() < self.last_share;
+        let class = if last { self.work.len() - 1 } else { 0 };
+        let id = self.fates.len() as u32;
+        let deadline = self.settings.classes[class].deadline;
+        self.fates.insert(id, Fate { node, class, asked: self.now, served: None, attempts: Vec::new() });
+        let (class, patience) = (ClassId(class as u16), deadline / 167 * 160);
+        let request = Request { id: RequestId(id), class, patience, write: true, ..Request::default() };
+        self.give(node, Event::Request(request));
+        let idle = |at: &Nanos| *at <= self.now;
+        self.beside_idle +=
+            usize::from(self.fates[&id].attempts.is_empty() && self.free_at.values().any(idle));
+    }
+
+    /// A node starts anew, with nothing but this list.
+    pub fn restart(&mut self, node: usize, backends: &[Backend]) {
+        let settings = Settings { me: node as u32, ..self.settings.clone() };
+        self.nodes[node] = Balancer::new(settings, 77 + node as u64, self.now).expect("sound settings");
+        self.give(node, Event::List { kind: ListKind::Cached, backends: backends.to_vec() });
+    }
+
+    /// Those asked from `from` on.
+    pub fn asked(&self, from: Nanos) -> impl Iterator<Item = &Fate> {
+        self.fates.values().filter(move |fate| fate.asked >= from)
+    }
+
+    /// Share of those asked from `from` on that were served within the aim.
+    pub fn in_time(&self, from: Nanos) -> f64 {
+        let aim = |fate: &Fate| self.settings.classes[fate.class].aim;
+        let timely = |fate: &&Fate| fate.served.is_some_and(|at| at <= fate.asked + aim(fate));
+        self.asked(from).filter(timely).count() as f64 / self.asked(from).count() as f64
+    }
+}
