What a decision costs no longer follows the length of the list; draws as before

Cause: draw collected every backend for each request; split, members and priors walked all of them at each event after 1/64 of the shortest aim and after each change; on_list built maps of all for one change. Change: candidates.rs keeps the support set and the running sums of the exploration weights of the last renewal; a draw looks there and walks the whole list only where that finds nothing legal (counted, full_walks). Renewals come more seldom over 256 backends, in step with the length. A change touches what it names.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,6 +9,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
+use crate::candidates::Candidates;
 use crate::interface::*;
 use crate::state::*;
 
@@ -65,6 +66,9 @@
 /// At most this share of the listed backends is ejected; beyond, ejection fails open.
 const MAX_EJECTED: f64 = 0.5;
 
+/// Backends up to which shares are renewed at the full rate.
+const USUAL_LIST: f64 = 256.0;
+
 const SECOND: f64 = 1e9;
 
 impl Open {
@@ -92,6 +96,13 @@
     agenda: Agenda<Task>,
     started: Nanos,
     refreshed: Nanos,
+    /// What draws look at, as of the last split, and draws that found nothing there.
+    candidates: Candidates,
+    full_walks: u64,
+    /// Some backend has come, gone or moved since parts were taken.
+    parts_stale: bool,
+    /// Backends that are gone and have attempts out.
+    lingering: BTreeSet<BackendId>,
     stale: bool,
     split_at: Nanos,
     /// As of the last split: completions a second for each warm backend, and whether ejection fails open.
@@ -140,6 +151,10 @@
             agenda,
             started: now,
             refreshed: now,
+            candidates: Candidates::default(),
+            full_walks: 0,
+            parts_stale: false,
+            lingering: BTreeSet::new(),
             stale: true,
             split_at: now,
             per_backend: 0.0,
@@ -297,6 +312,9 @@
 
     /// Discounts what was counted of backends and renews the shares of all that are ready.
     fn split(&mut self, now: Nanos) {
+        if std::mem::take(&mut self.parts_stale) {
+            self.take_part();
+        }
         let step = now.saturating_sub(self.split_at) as f64 / SECOND;
         let rate = self.per_second(now, self.arrivals) / (self.servers.len().max(1) as f64);
         let memory = (MEMORY / rate.max(1e-9)).clamp(self.shortest_aim, MEMORY_AIMS * self.longest_aim);
@@ -375,6 +393,7 @@
             server.rate = rates[place];
             server.share = shares[place] * if near(server) { 1.0 } else { spill };
         }
+        self.candidates = Candidates::of(self.ready());
         self.split_at = now;
         self.stale = false;
     }
@@ -467,50 +486,102 @@
         (self.servers.values().map(of).collect(), leaning(&home) / leaning(&away))
     }
 
-    /// Draws a backend for `open` among those that are legal, backends not yet tried first.
+    /// Draws a backend for a request among those that are legal, backends not yet tried first.
     fn draw(&mut self, now: Nanos, id: RequestId) -> Option<BackendId> {
-        let open = &self.open[&id];
-        if self.full(open.needs) {
+        if self.full(self.open[&id].needs) {
             return None;
         }
-        // Ejected backends have no share, so they would get all that finds no room elsewhere.
-        let usable = |s: &&Server| {
-            let sound = s.ejected_until <= now || self.failed_open;
-            sound && Self::has_room(s) && self.may_send(now, open, s)
-        };
-        let mut pool: Vec<&Server> = self.servers.values().filter(usable).collect();
+        if let Some(backend) = self.draw_candidate(now, id) {
+            return Some(backend);
+        }
+        self.full_walks += 1;
+        self.draw_from_all(now, id)
+    }
+
+    /// An attempt of `open` may go to this backend now, which has room and is not ejected. Ejected backends have
+    /// no share, so they would get all that finds no room elsewhere.
+    fn is_usable(&self, now: Nanos, open: &Open, server: &Server) -> bool {
+        let sound = server.ejected_until <= now || self.failed_open;
+        sound && Self::has_room(server) && self.may_send(now, open, server)
+    }
+
+    /// What must not run twice is not what finds out whether one that failed is sound; where many nodes share a
+    /// backend, a time-out there tells of a crowd.
+    fn wants_proven(&self, open: &Open) -> bool {
+        let once = |class: &Class| class.effect == Effect::Unsafe;
+        let classes = &self.settings.classes;
+        let of_open = &classes[usize::from(open.request.class.0)];
+        once(of_open) && !classes.iter().all(once) && !self.coarse()
+    }
+
+    /// Draws among the support set, or an exploration by its weight. `None` where neither finds a backend that
+    /// is legal now and was not tried.
+    fn draw_candidate(&mut self, now: Nanos, id: RequestId) -> Option<BackendId> {
+        let (dice, place) = (unit(&mut self.rng), unit(&mut self.rng));
+        let again = unit(&mut self.rng);
+        let open = &self.open[&id];
+        let untried = |s: &Server| open.attempts.iter().all(|a| a.backend != s.entry.id);
+        let wanted = |s: &&Server| untried(s) && self.is_usable(now, open, s);
+        let total = self.candidates.explore_total();
+        if dice < total {
+            let drawn = self.candidates.explorer(place).and_then(|id| self.servers.get(&id)).filter(wanted);
+            let proven = |s: &&Server| s.streak == 0.0 || !self.wants_proven(open);
+            if let Some(server) = drawn.filter(proven) {
+                return Some(server.entry.id);
+            }
+            if total >= 1.0 {
+                return None;
+            }
+        }
+        let support = self.candidates.support().iter().filter_map(|id| self.servers.get(id));
+        let mut pool: Vec<&Server> = support.filter(wanted).collect();
+        self.prefer_proven(open, &mut pool);
+        self.pick_shared(now, open, &pool, again)
+    }
+
+    /// Draws among the whole list.
+    fn draw_from_all(&mut self, now: Nanos, id: RequestId) -> Option<BackendId> {
+        let (dice, place) = (unit(&mut self.rng), unit(&mut self.rng));
+        let open = &self.open[&id];
+        let mut pool: Vec<&Server> = self.servers.values().filter(|s| self.is_usable(now, open, s)).collect();
         let tried = |s: &&Server| open.attempts.iter().any(|a| a.backend == s.entry.id);
         if !open.attempts.is_empty() && !pool.iter().all(tried) {
             pool.retain(|s| !tried(s));
         }
-        // What must not run twice is not what finds out whether one that failed is sound; where many nodes
-        // share a backend, a time-out there tells of a crowd.
-        let once = |class: &Class| class.effect == Effect::Unsafe;
-        let (classes, class) = (&self.settings.classes, usize::from(open.request.class.0));
+        self.prefer_proven(open, &mut pool);
+        let explore: f64 = pool.iter().map(|s| s.explore).sum();
+        let drawn = if dice >= explore.min(1.0) { self.pick_shared(now, open, &pool, place) } else { None };
+        drawn.or_else(|| pick(&pool, place, |s| s.explore)).or_else(|| pick(&pool, place, |_| 1.0))
+    }
+
+    fn prefer_proven(&self, open: &Open, pool: &mut Vec<&Server>) {
         let proven = |s: &&Server| s.streak == 0.0;
-        if once(&classes[class]) && !classes.iter().all(once) && !self.coarse() && pool.iter().any(proven) {
+        if self.wants_proven(open) && pool.iter().any(proven) {
             pool.retain(proven);
         }
-        let explore: f64 = pool.iter().map(|s| s.explore).sum();
-        let (dice, place) = (unit(&mut self.rng), unit(&mut self.rng));
+    }
+
+    /// The backend at `place` of the shares, idle ones first.
+    fn pick_shared(&self, now: Nanos, open: &Open, pool: &[&Server], place: f64) -> Option<BackendId> {
         let part = |whether: bool, weight: f64| if whether { weight } else { 0.0 };
         let lately = now.saturating_sub((self.longest_aim * SECOND) as Nanos);
         let quick = |s: &Server| s.out == 0.0 && s.last < 1.0 && s.heard >= lately;
         let first = self.coarse() && open.needs <= 1.0;
-        let shared = || {
-            // Idle for all this node knows, and just now quicker than usual: likely idle still.
-            pick(&pool, place, |s| part(first && quick(s), s.rate))
-                // What this node knows to be idle goes first: there is no wait at it.
-                .or_else(|| pick(&pool, place, |s| part(s.own && s.out == 0.0, s.share)))
-                // One that (9) leaves out is slow, but there at once; not where it is a crowd of others'.
-                .or_else(|| {
-                    let keeps_up = |s: &Server| s.ratio < TOLERANCE * TOLERANCE;
-                    pick(&pool, place, |s| part(s.own && s.out == 0.0 && keeps_up(s), s.rate))
-                })
-                .or_else(|| pick(&pool, place, |s| s.share))
-        };
-        let drawn = if dice >= explore.min(1.0) { shared() } else { None };
-        drawn.or_else(|| pick(&pool, place, |s| s.explore)).or_else(|| pick(&pool, place, |_| 1.0))
+        // Idle for all this node knows, and just now quicker than usual: likely idle still.
+        pick(pool, place, |s| part(first && quick(s), s.rate))
+            // What this node knows to be idle goes first: there is no wait at it.
+            .or_else(|| pick(pool, place, |s| part(s.own && s.out == 0.0, s.share)))
+            // One that (9) leaves out is slow, but there at once; not where it is a crowd of others'.
+            .or_else(|| {
+                let keeps_up = |s: &Server| s.ratio < TOLERANCE * TOLERANCE;
+                pick(pool, place, |s| part(s.own && s.out == 0.0 && keeps_up(s), s.rate))
+            })
+            .or_else(|| pick(pool, place, |s| s.share))
+    }
+
+    /// Draws that had to walk the whole list so far.
+    pub fn full_walks(&self) -> u64 {
+        self.full_walks
     }
 
     // ---- Health: outlier ejection with backoff and a floor. ----
@@ -673,11 +744,19 @@
         if usual { 0 } else { deadline.saturating_sub(request.patience) }
     }
 
+    /// Multiple of the usual pause between renewals of the shares: a renewal walks the whole list, so with long
+    /// lists it comes more seldom and costs the same over time.
+    fn renewal_stretch(&self) -> f64 {
+        (self.servers.len() as f64 / USUAL_LIST).max(1.0)
+    }
+
     /// Gives room to those that wait, until none is left.
     fn serve_waiting(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         // Estimates move little within a small part of an aim; renewing shares costs CPU.
-        let pause = (self.shortest_aim * SECOND / 64.0) as Nanos;
-        if self.stale || now >= self.split_at.saturating_add(pause) {
+        let usual = self.shortest_aim * SECOND / 64.0;
+        let pause = usual * if self.stale { self.renewal_stretch() - 1.0 } else { self.renewal_stretch() };
+        let empty = self.candidates.is_empty();
+        if self.stale && empty || now >= self.split_at.saturating_add(pause as Nanos) {
             self.split(now);
         }
         if self.waiting.is_empty() || !self.servers.values().any(Self::has_room) {
@@ -936,46 +1015,67 @@
         if kind != ListKind::Cached {
             self.ask_failures = 0;
         }
-        let before: BTreeMap<_, _> = self.servers.values().map(|s| (s.entry.id, s.entry.state)).collect();
+        let named: Vec<BackendId> = if kind == ListKind::Delta {
+            backends.iter().map(|b| b.id).collect()
+        } else {
+            self.servers.keys().copied().chain(backends.iter().map(|b| b.id)).collect()
+        };
+        let state = |servers: &BTreeMap<BackendId, Server>, id: &BackendId| {
+            servers.get(id).map(|server| server.entry.state)
+        };
+        let before: Vec<Option<BackendState>> = named.iter().map(|id| state(&self.servers, id)).collect();
         if kind != ListKind::Delta {
             let listed: BTreeSet<BackendId> = backends.iter().map(|b| b.id).collect();
             for server in self.servers.values_mut().filter(|s| !listed.contains(&s.entry.id)) {
                 server.entry.state = BackendState::Gone;
             }
         }
-        let first_room = self.first_room();
         for entry in backends {
-            let credit = unit(&mut self.rng);
-            let fresh = Server {
-                entry: entry.clone(),
-                joined: now,
-                ratio: 1.0,
-                room: first_room,
-                cold_credit: credit,
-                ..Server::default()
-            };
-            let server = self.servers.entry(entry.id).or_insert_with(|| fresh.clone());
-            if entry.started > server.entry.started {
-                // A new process: what was learned of the old one says nothing, but what is out will end.
-                let (out, out_sent) = (server.out, server.out_sent);
-                *server = Server { out, out_sent, ..fresh };
-            }
-            server.entry = entry;
+            self.take_entry(now, entry);
         }
-        let leaving = self.servers.values().map(|s| (s.entry.id, s.entry.state));
-        let leaving = leaving.filter(|(id, state)| before.get(id) != Some(state));
-        let leaving: Vec<_> = leaving.filter(|(_, state)| *state != BackendState::Ready).collect();
-        for (id, _) in leaving {
-            self.let_go(now, id, actions);
+        for (id, before) in named.iter().zip(before) {
+            let after = state(&self.servers, id);
+            if after != before && after.is_some_and(|state| state != BackendState::Ready) {
+                self.let_go(now, *id, actions);
+            }
         }
-        self.servers.retain(|_, s| s.entry.state != BackendState::Gone || s.out > 0.0);
-        self.take_part();
+        self.forget_gone(&named);
+        self.parts_stale = true;
         if self.ready().next().is_none() {
             actions.push(Action::Log("no backend is ready".into()));
         }
         self.stale = true;
     }
 
+    /// Takes what a list says of one backend.
+    fn take_entry(&mut self, now: Nanos, entry: Backend) {
+        let cold_credit = unit(&mut self.rng);
+        let room = self.first_room();
+        let fresh =
+            Server { entry: entry.clone(), joined: now, ratio: 1.0, room, cold_credit, ..Server::default() };
+        let server = self.servers.entry(entry.id).or_insert_with(|| fresh.clone());
+        if entry.started > server.entry.started {
+            // A new process: what was learned of the old one says nothing, but what is out will end.
+            let (out, out_sent) = (server.out, server.out_sent);
+            *server = Server { out, out_sent, ..fresh };
+        }
+        server.entry = entry;
+    }
+
+    /// Forgets backends that are gone and have nothing out, of these and of those that had when they went.
+    fn forget_gone(&mut self, named: &[BackendId]) {
+        self.lingering.extend(named);
+        let servers = &mut self.servers;
+        self.lingering.retain(|id| {
+            let gone = servers.get(id).is_some_and(|s| s.entry.state == BackendState::Gone);
+            let over = gone && servers.get(id).is_some_and(|s| s.out <= 0.0);
+            if over {
+                servers.remove(id);
+            }
+            gone && !over
+        });
+    }
+
     /// Rule on drains where connections must close: at the notice and after each outcome there, and again
     /// within the stated time for a connection that was not idle yet. Only these need a late timer.
     fn let_go(&mut self, now: Nanos, id: BackendId, actions: &mut Vec<Action>) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 #![warn(missing_docs)]
 
 mod balance;
+mod candidates;
 mod interface;
 mod state;
 
