--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # CONFIG names the configuration file that `make run` starts with.
 CONFIG ?= config.json
 
-.PHONY: build test lint run rig fleet fleet-small scale
+.PHONY: build test lint run rig fleet fleet-small scale soak
 
 build:
 	cargo build --release --locked
@@ -30,3 +30,9 @@
 # One node with 200 and with 3,200 backends under the same traffic: what it needs may grow only so far.
 scale: rig
 	target/release/kitefork-rig scale
+
+# Seeds of overlapping troubles over 24 processes, a quarter of a minute each.
+SEEDS ?= 20
+soak: rig
+	cargo build --release --locked -p kitefork-fault-shim
+	target/release/kitefork-rig soak --seeds $(SEEDS)
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod referee;
 pub mod scale;
 pub mod scenario;
+pub mod soak;
 pub mod world;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,9 +5,9 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use kitefork_rig::scale;
 use kitefork_rig::scenario::Scenario;
-use kitefork_rig::world::{self, Report};
+use kitefork_rig::world::{self, Programs, Report};
+use kitefork_rig::{scale, soak};
 
 #[derive(Parser)]
 #[command(about = "Plays scenarios with many processes of the node, and judges them")]
@@ -54,6 +54,21 @@
         #[arg(long, default_value_t = 3)]
         rounds: u64,
     },
+    /// Plays seeds of overlapping troubles over many processes; a seed that fails is shrunk.
+    Soak {
+        /// First seed.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        /// Seeds.
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+        /// Processes of the node.
+        #[arg(long, default_value_t = 24)]
+        nodes: usize,
+        /// The program that nodes run; the fault shim lies beside it.
+        #[arg(long, default_value = "target/release/kitefork")]
+        program: PathBuf,
+    },
     /// Lists the scenarios of a folder.
     List {
         #[arg(default_value = "scenarios")]
@@ -77,10 +92,38 @@
 
 fn play(scenario: &Scenario, program: &Path) -> Result<Report, String> {
     let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
-    let report = runtime.block_on(world::run(scenario, program));
+    let report = runtime.block_on(world::run(scenario, &Programs::beside(program)));
     report.map_err(|error| format!("{}: {error}", program.display()))
 }
 
+/// Stories that are printed of a seed that fails.
+const MOST_STORIES: usize = 5;
+
+fn run_soak(from: u64, seeds: u64, nodes: usize, program: &Path) -> Result<bool, String> {
+    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    let programs = Programs::beside(program);
+    let mut failed = Vec::new();
+    for seed in from..from + seeds {
+        let verdict = runtime.block_on(soak::play(seed, nodes, &programs, true));
+        let verdict = verdict.map_err(|error| format!("{}: {error}", program.display()))?;
+        let report = &verdict.report;
+        let word = if report.passed() { "passed" } else { "FAILED" };
+        println!("{word} {}; served {:.3}", verdict.plan, report.figures["served"]);
+        if !report.passed() {
+            for story in report.broken.iter().chain(&report.panics).take(MOST_STORIES) {
+                println!("  {story}");
+            }
+            println!(
+                "  {} stories; again: kitefork-rig soak --from {seed} --seeds 1 --nodes {nodes}",
+                report.broken.len()
+            );
+            failed.push(seed);
+        }
+    }
+    println!("{} of {seeds} seeds passed; failed: {failed:?}", seeds as usize - failed.len());
+    Ok(failed.is_empty())
+}
+
 fn run_scale(program: &Path, rounds: u64) -> Result<bool, String> {
     let mut medians = Vec::new();
     for backends in scale::SIZES {
@@ -172,6 +215,7 @@
             }
             Ok(true)
         }
+        Command::Soak { from, seeds, nodes, program } => run_soak(from, seeds, nodes, &program),
         Command::Scale { program, rounds } => run_scale(&program, rounds),
         Command::List { folder } => {
             let listed =
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -30,6 +30,15 @@
     pub ended: Option<(Duration, Option<i32>)>,
 }
 
+/// How nodes are started.
+#[derive(Clone, Debug, Default)]
+pub struct Setup {
+    /// Variables of the environment.
+    pub variables: Vec<(String, String)>,
+    /// Nobody reads the log after its first line.
+    pub log_unread: bool,
+}
+
 /// A node, over all its lives.
 pub struct Node {
     /// Its number.
@@ -83,14 +92,26 @@
         std::fs::write(&self.config, config.to_string())
     }
 
-    /// Starts the program, unless it runs.
-    pub fn start(&mut self, program: &Path, clock: Clock) -> std::io::Result<()> {
+    /// Writes the first half of its configuration.
+    pub fn configure_half(&self, config: &Value) -> std::io::Result<()> {
+        let text = config.to_string();
+        std::fs::write(&self.config, &text[..text.len() / 2])
+    }
+
+    /// Takes its configuration away.
+    pub fn remove_configuration(&self) -> std::io::Result<()> {
+        std::fs::remove_file(&self.config)
+    }
+
+    /// Starts the program, unless it runs, with these variables in its environment.
+    pub fn start(&mut self, program: &Path, clock: Clock, setup: &Setup) -> std::io::Result<()> {
         if self.is_running() {
             return Ok(());
         }
         let mut child = Command::new(program)
             .env_clear()
             .env("BALANCER_CONFIG", &self.config)
+            .envs(setup.variables.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
@@ -100,8 +121,12 @@
         self.shared().lives.push(Life { node, started, listens: None, told: None, ended: None });
         let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let shared = self.shared.clone();
+        let unread = setup.log_unread;
         tokio::spawn(async move {
-            while let Ok(Some(line)) = lines.next_line().await {
+            let mut reads = true;
+            while reads && let Ok(Some(line)) = lines.next_line().await {
+                // The first line alone, then nobody reads; the pipe stays open.
+                reads = !unread;
                 let mut shared = locked(&shared);
                 if let Some(rest) =
                     line.split(" listen=").nth(1).filter(|_| line.contains("kitefork: start "))
@@ -116,6 +141,9 @@
                     shared.lines.push(line);
                 }
             }
+            if unread {
+                std::future::pending::<()>().await;
+            }
         });
         self.child = Some(child);
         Ok(())
--- a/crates/rig/src/referee.rs
+++ b/crates/rig/src/referee.rs
@@ -6,6 +6,7 @@
 use kitefork_standin::backend::{Attempt, AttemptEnd};
 use kitefork_standin::clients::{Answer, Asked, Effect};
 use kitefork_standin::list::{Entry, Told};
+use kitefork_standin::odd::{Manner, OddAsked};
 
 use crate::node::Life;
 
@@ -13,6 +14,13 @@
 /// its turn comes.
 const LATE: Duration = Duration::from_millis(150);
 
+/// Slack of the time that a backend is told.
+const TOLD_SLACK: Duration = Duration::from_millis(150);
+/// An attempt may begin this long after its client has left.
+const GONE: Duration = Duration::from_millis(100);
+/// Within this a client that stops in the middle of a request gets an error or a close.
+const BAD_CLIENT: Duration = Duration::from_secs(3);
+
 /// The figures of the rules.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
@@ -39,6 +47,8 @@
 pub struct Ledgers {
     /// Of the clients.
     pub asked: Vec<Asked>,
+    /// Of the clients that don't behave.
+    pub odd: Vec<OddAsked>,
     /// Of the backends.
     pub attempts: Vec<Attempt>,
     /// Of the list service: what it wrote to whom, and its changes by version.
@@ -79,6 +89,12 @@
         let mut tell = |rule| broken.push(Broken { rule, story: format!("{asked:?}; {tries:?}") });
         answer(rules, ledgers, asked, tries, &mut tell);
         repeats(rules, asked.ask.effect, tries, &mut tell);
+        deadlines(asked.ask.planned + asked.ask.patience, tries, &mut tell);
+    }
+    for asked in &ledgers.odd {
+        let tries = tries.get(asked.ask.txn.as_str()).map_or(&[][..], |tries| &tries[..]);
+        let mut tell = |rule| broken.push(Broken { rule, story: format!("{asked:?}; {tries:?}") });
+        odd_client(ledgers, asked, tries, &mut tell);
     }
     drains(rules, ledgers, &mut broken);
     cold(rules, ledgers, &mut broken);
@@ -162,6 +178,47 @@
     }
 }
 
+/// The time told to a backend is at most what the client has left, with slack.
+fn deadlines(end: Duration, tries: &[&Attempt], tell: &mut impl FnMut(&'static str)) {
+    let over = |attempt: &&&Attempt| {
+        let left = end.saturating_sub(attempt.arrived);
+        attempt.told.is_some_and(|told| told > left + TOLD_SLACK + LATE)
+    };
+    if tries.iter().find(over).is_some() {
+        tell("a backend was told more time than the client has left");
+    }
+}
+
+/// What is owed to clients that don't behave.
+fn odd_client(ledgers: &Ledgers, asked: &OddAsked, tries: &[&Attempt], tell: &mut impl FnMut(&'static str)) {
+    let Some(connected) = asked.connected else { return };
+    let after = |left: Duration| tries.iter().any(|attempt| attempt.arrived > left + GONE + LATE);
+    if asked.left.is_some_and(after) {
+        tell("an attempt began after its client had left");
+    }
+    let patience = asked.ask.patience.max(BAD_CLIENT);
+    let end = asked.sent.max(connected) + patience;
+    let disturbed = ledgers.lives.iter().filter(|life| life.node == asked.node).any(|life| {
+        let near = |at: Duration| at + patience >= connected && at <= end + LATE;
+        life.told.is_some_and(|told| near(told.0)) || life.ended.is_some_and(|ended| near(ended.0))
+    });
+    let still = |stop: &(usize, Duration, Duration)| {
+        stop.0 == asked.node && stop.1 <= end + LATE && stop.2 + LATE >= connected
+    };
+    if disturbed || ledgers.stopped.iter().any(still) {
+        return;
+    }
+    match asked.ask.manner {
+        Manner::HalfCloses | Manner::Trickles | Manner::Pipelines if asked.answers == 0 => {
+            tell("a request that was read was never answered");
+        }
+        Manner::StopsMidway if asked.ended.is_none_or(|at| at > asked.sent + BAD_CLIENT + LATE) => {
+            tell("a client that stopped midway got neither error nor close in time");
+        }
+        _ => {}
+    }
+}
+
 /// Nothing new to a backend that a node has been told drains or is gone, after the grace.
 fn drains(rules: &Rules, ledgers: &Ledgers, broken: &mut Vec<Broken>) {
     let nodes: BTreeMap<&str, usize> =
@@ -238,7 +295,7 @@
 
     fn attempt(uid: &str, cell: u16, arrived: u64, ended: u64, end: AttemptEnd) -> Attempt {
         let (txn, uid, key) = ("t1".to_string(), uid.to_string(), None);
-        Attempt { txn, key, uid, cell, arrived: MS(arrived), ended: MS(ended), end }
+        Attempt { txn, key, uid, cell, told: None, arrived: MS(arrived), ended: MS(ended), end }
     }
 
     fn served() -> Answer {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -57,6 +57,19 @@
     pub known: Known,
     /// Number of nodes as the settings tell it; the true one if absent.
     pub siblings: Option<usize>,
+    /// Descriptors that a node may hold.
+    #[serde(default = "usual_sockets")]
+    pub sockets: usize,
+    /// A plan of the fault shim that is preloaded into each node; none if empty.
+    #[serde(default)]
+    pub faults: String,
+    /// Nobody reads the nodes' logs, and they trace.
+    #[serde(default)]
+    pub log_unread: bool,
+}
+
+fn usual_sockets() -> usize {
+    512
 }
 
 fn one_zone() -> usize {
@@ -88,11 +101,13 @@
     pub most_wait_ms: f64,
     /// Changes kept for those that resume.
     pub history: usize,
+    /// Nodes are told that lists are pushed to them.
+    pub pushed: bool,
 }
 
 impl Default for List {
     fn default() -> List {
-        List { call_ms: 1.0, row_us: 0.0, most_wait_ms: 1_000.0, history: 1_000 }
+        List { call_ms: 1.0, row_us: 0.0, most_wait_ms: 1_000.0, history: 1_000, pushed: false }
     }
 }
 
@@ -130,6 +145,8 @@
     pub from_s: f64,
     /// Up to this one; to the end of the scenario if absent.
     pub to_s: Option<f64>,
+    /// Clients that don't behave, a second, over all nodes.
+    pub odd_rate: f64,
     /// Seconds for which clients go on to a node that has died.
     pub notice_s: f64,
     /// Classes, with their shares.
@@ -214,6 +231,10 @@
     Cont,
     /// Nodes read their configuration anew (SIGHUP).
     Reload,
+    /// The same, with a file that is written half.
+    ReloadHalf,
+    /// The same, with no file.
+    ReloadMissing,
     /// The list service answers, over sound links.
     ListUp,
     /// It answers 503.
--- /dev/null
+++ b/crates/rig/src/soak.rs
@@ -0,0 +1,385 @@
+//! The soak: a seed draws a fleet, its settings and some troubles that overlap in time; the referee judges. A
+//! seed that fails is played again with fewer troubles, to show what it takes.
+
+use std::fmt;
+use std::io;
+
+use rand::{RngCore, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use crate::scenario::{Class, Fleet, Known, List, Scenario, Step, Traffic, What};
+use crate::world::{Programs, Report, run};
+
+/// Seconds of traffic; troubles begin in the middle third.
+const LENGTH_S: f64 = 10.0;
+/// Requests a second for each node.
+const RATE_PER_NODE: f64 = 6.0;
+/// Clients that don't behave, a second for each node.
+const ODD_PER_NODE: f64 = 1.0;
+
+/// Something that goes wrong for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nodes are told to end and start anew.
+    Restart,
+    /// Nodes are killed and start anew.
+    Kill,
+    /// Nodes stand still.
+    Stop,
+    /// Configurations in quick succession: half a file, none, a sound one.
+    Reloads,
+    /// The list service is gone, silent, busy or starts anew.
+    ListDown,
+    /// See above.
+    ListSilent,
+    /// See above.
+    ListBusy,
+    /// See above.
+    ListRestart,
+    /// Links of some nodes to the list service are cut.
+    ListCut,
+    /// Backends take requests and answer none.
+    Swallow,
+    /// Backends fail.
+    Fail,
+    /// Backends' connections are reset, twice.
+    Reset,
+    /// Backends are cut off.
+    Cut,
+    /// What backends say does not arrive.
+    CutOut,
+    /// Backends drain.
+    Drain,
+    /// Backends die and start anew, cold.
+    Crash,
+    /// Calls of the nodes' C library fail for a moment.
+    SystemCalls,
+    /// Nodes' wall clocks are stepped.
+    ClockStep,
+    /// Nobody reads the logs.
+    LogUnread,
+    /// Nodes are held up before they write.
+    HeldUp,
+    /// Few descriptors.
+    FewDescriptors,
+}
+
+const TROUBLES: [Trouble; 21] = [
+    Trouble::Restart,
+    Trouble::Kill,
+    Trouble::Stop,
+    Trouble::Reloads,
+    Trouble::ListDown,
+    Trouble::ListSilent,
+    Trouble::ListBusy,
+    Trouble::ListRestart,
+    Trouble::ListCut,
+    Trouble::Swallow,
+    Trouble::Fail,
+    Trouble::Reset,
+    Trouble::Cut,
+    Trouble::CutOut,
+    Trouble::Drain,
+    Trouble::Crash,
+    Trouble::SystemCalls,
+    Trouble::ClockStep,
+    Trouble::LogUnread,
+    Trouble::HeldUp,
+    Trouble::FewDescriptors,
+];
+
+impl fmt::Display for Trouble {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, f)
+    }
+}
+
+/// A trouble with its time and the part of its parties that it strikes.
+#[derive(Clone, Debug)]
+pub struct Drawn {
+    /// What.
+    pub trouble: Trouble,
+    /// From this second on.
+    pub from_s: f64,
+    /// For so long.
+    pub lasts_s: f64,
+    /// Parties, from 0 to 1 by their numbers.
+    pub part: [f64; 2],
+    /// Draw of its own, from 0 to 1.
+    pub dice: f64,
+}
+
+/// What a seed has drawn.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The seed.
+    pub seed: u64,
+    /// The fleet, before any trouble.
+    pub base: Scenario,
+    /// The troubles.
+    pub troubles: Vec<Drawn>,
+}
+
+struct Dice(Xoshiro256PlusPlus);
+
+impl Dice {
+    fn unit(&mut self) -> f64 {
+        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn below(&mut self, count: usize) -> usize {
+        (self.unit() * count as f64) as usize
+    }
+
+    fn of<T: Copy>(&mut self, choices: &[T]) -> T {
+        choices[self.below(choices.len())]
+    }
+}
+
+/// Draws what a seed stands for, with so many nodes.
+pub fn draw(seed: u64, nodes: usize) -> Plan {
+    let mut dice = Dice(Xoshiro256PlusPlus::seed_from_u64(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)));
+    let zones = 1 + dice.below(4);
+    let fleet = Fleet {
+        nodes,
+        backends: (nodes / 2 + dice.below(nodes + 1)).max(8),
+        zones,
+        known: dice.of(&[Known::Empty, Known::Current, Known::Stale]),
+        siblings: None,
+        sockets: 512,
+        faults: String::new(),
+        log_unread: false,
+    };
+    let list = List {
+        call_ms: dice.of(&[0.2, 1.0, 8.0]),
+        history: dice.of(&[0, 5, 1_000]),
+        pushed: dice.unit() < 0.4,
+        ..List::default()
+    };
+    let count = 1 + dice.below(3);
+    let class = (0..count).map(|number| draw_class(&mut dice, number)).collect();
+    let traffic = Traffic {
+        rate: RATE_PER_NODE * nodes as f64,
+        odd_rate: ODD_PER_NODE * nodes as f64,
+        from_s: 1.5,
+        to_s: Some(LENGTH_S),
+        notice_s: dice.of(&[0.2, 1.0]),
+        class,
+    };
+    let start = Step { s: 0.0, what: What::Start, part: [0.0, 1.0], zone: None, over_s: 0.4, size: 1.0 };
+    let base = Scenario {
+        about: format!("soak, seed {seed}"),
+        seed,
+        length_s: LENGTH_S + 2.0,
+        fleet,
+        list,
+        backend: Default::default(),
+        traffic,
+        at: vec![start],
+        expect: Vec::new(),
+    };
+    let count = 2 + dice.below(2);
+    let troubles = (0..count).map(|_| draw_trouble(&mut dice)).collect();
+    Plan { seed, base, troubles }
+}
+
+fn draw_class(dice: &mut Dice, number: usize) -> Class {
+    let deadline_ms = dice.of(&[150.0, 400.0, 1_000.0, 3_000.0, 5_000.0]);
+    Class {
+        name: format!("class{number}"),
+        effect: dice.of(&["safe", "keyed", "unsafe"]).into(),
+        share: 1.0,
+        aim_ms: deadline_ms / dice.of(&[1.5, 3.0]),
+        deadline_ms,
+        worth: dice.of(&[1.0, 5.0]),
+    }
+}
+
+fn draw_trouble(dice: &mut Dice) -> Drawn {
+    let from = dice.unit() * 0.7;
+    Drawn {
+        trouble: dice.of(&TROUBLES),
+        from_s: 2.5 + 2.5 * dice.unit(),
+        lasts_s: 0.5 + 2.5 * dice.unit(),
+        part: [from, from + 0.15 + 0.15 * dice.unit()],
+        dice: dice.unit(),
+    }
+}
+
+impl Plan {
+    /// The scenario of the fleet with its troubles.
+    pub fn scenario(&self) -> Scenario {
+        let mut scenario = self.base.clone();
+        for drawn in &self.troubles {
+            drawn.put_into(&mut scenario);
+        }
+        scenario
+    }
+
+    /// The same without one trouble.
+    fn without(&self, place: usize) -> Plan {
+        let mut plan = self.clone();
+        plan.troubles.remove(place);
+        plan
+    }
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Scenario { fleet, list, traffic, .. } = &self.base;
+        write!(
+            f,
+            "seed {}: {} nodes, {} backends, {} zones, ",
+            self.seed, fleet.nodes, fleet.backends, fleet.zones
+        )?;
+        write!(f, "{}, known {:?};", if list.pushed { "pushed" } else { "asked" }, fleet.known)?;
+        for class in &traffic.class {
+            write!(f, " {} {} ms", class.effect, class.deadline_ms)?;
+        }
+        for drawn in &self.troubles {
+            let Drawn { trouble, from_s, lasts_s, part, .. } = drawn;
+            write!(f, "; {trouble} at {from_s:.2} s for {lasts_s:.2} s of {:.2} to {:.2}", part[0], part[1])?;
+        }
+        Ok(())
+    }
+}
+
+/// Plans of the shim, each of calls that fail as Linux documents.
+const SHIM_PLANS: [&str; 8] = [
+    "send=ENOBUFS,chance:0.05",
+    "recv=ENOMEM,chance:0.05",
+    "epoll_ctl=ENOMEM,chance:0.05",
+    "accept=ENFILE,chance:0.2",
+    "accept=ENOBUFS,chance:0.2;socket=ENFILE,chance:0.1",
+    "connect=EADDRNOTAVAIL,chance:0.2",
+    "send=short,chance:0.3;recv=short,chance:0.3",
+    "epoll_wait=EINTR,chance:0.2;recv=EINTR,chance:0.1;send=EINTR,chance:0.1",
+];
+
+impl Drawn {
+    fn put_into(&self, scenario: &mut Scenario) {
+        let (from, to) = (self.from_s, self.from_s + self.lasts_s);
+        let mut add = |s: f64, what: What| {
+            let (part, size) = (self.part, 1.0);
+            scenario.at.push(Step { s, what, part, zone: None, over_s: 0.2, size });
+        };
+        match self.trouble {
+            Trouble::Restart => {
+                add(from, What::Term);
+                // After it, a node that has not ended by itself is killed as the platform does.
+                add(from + 6.5, What::Kill);
+                add(from + 6.8, What::Start);
+            }
+            Trouble::Kill => {
+                add(from, What::Kill);
+                add(to, What::Start);
+            }
+            Trouble::Stop => {
+                add(from, What::Stop);
+                add(from + self.lasts_s.min(1.0), What::Cont);
+            }
+            Trouble::Reloads => {
+                add(from, What::ReloadHalf);
+                add(from + 0.3, What::ReloadMissing);
+                add(from + 0.6, What::Reload);
+                add(from + 0.7, What::Reload);
+            }
+            Trouble::ListDown => {
+                add(from, What::ListDown);
+                add(to, What::ListUp);
+            }
+            Trouble::ListSilent => {
+                add(from, What::ListSilent);
+                add(to, What::ListUp);
+            }
+            Trouble::ListBusy => {
+                add(from, What::ListBusy);
+                add(to, What::ListUp);
+            }
+            Trouble::ListRestart => add(from, What::ListRestart),
+            Trouble::ListCut => {
+                add(from, What::ListCut);
+                add(to, What::ListUp);
+            }
+            Trouble::Swallow => {
+                add(from, What::Swallow);
+                add(to, What::Work);
+            }
+            Trouble::Fail => {
+                add(from, What::Fail);
+                add(to, What::Work);
+            }
+            Trouble::Reset => {
+                add(from, What::BackendReset);
+                add(to, What::BackendReset);
+            }
+            Trouble::Cut => {
+                add(from, What::BackendCut);
+                add(to, What::Work);
+            }
+            Trouble::CutOut => {
+                add(from, What::BackendCutOut);
+                add(to, What::Work);
+            }
+            Trouble::Drain => add(from, What::Drain),
+            Trouble::Crash => {
+                add(from, What::BackendKill);
+                add(to + 1.2, What::BackendStart);
+            }
+            Trouble::SystemCalls => {
+                let place = (self.dice * SHIM_PLANS.len() as f64) as usize;
+                self.add_faults(scenario, SHIM_PLANS[place]);
+            }
+            Trouble::ClockStep => {
+                let steps = [-3_600, -3, 3, 3_600];
+                let step = steps[(self.dice * steps.len() as f64) as usize];
+                self.add_faults(scenario, &format!("clock=step:{step}"));
+            }
+            Trouble::HeldUp => self.add_faults(scenario, "send=sleep:120,chance:0.01"),
+            Trouble::LogUnread => scenario.fleet.log_unread = true,
+            Trouble::FewDescriptors => scenario.fleet.sockets = 64 + (self.dice * 64.0) as usize,
+        }
+    }
+
+    /// Faults of the shim, in force for this trouble's time of each process.
+    fn add_faults(&self, scenario: &mut Scenario, plan: &str) {
+        let from = (self.from_s * 1e3) as u64;
+        let to = ((self.from_s + self.lasts_s) * 1e3) as u64;
+        for rule in plan.split(';') {
+            scenario.fleet.faults += &format!("{rule},from:{from},to:{to};");
+        }
+    }
+}
+
+/// What a seed has come to.
+#[derive(Debug)]
+pub struct Verdict {
+    /// The smallest plan that still fails, or the whole one where none does.
+    pub plan: Plan,
+    /// Its report.
+    pub report: Report,
+}
+
+/// Plays a seed; one that fails is played again with one trouble less, as long as it still fails.
+///
+/// # Errors
+///
+/// What the machine says where a party or a process can't be started.
+pub async fn play(seed: u64, nodes: usize, programs: &Programs, shrink: bool) -> io::Result<Verdict> {
+    let mut plan = draw(seed, nodes);
+    let mut report = run(&plan.scenario(), programs).await?;
+    if report.passed() || !shrink {
+        return Ok(Verdict { plan, report });
+    }
+    'fewer: loop {
+        for place in 0..plan.troubles.len() {
+            let fewer = plan.without(place);
+            let again = run(&fewer.scenario(), programs).await?;
+            if !again.passed() {
+                (plan, report) = (fewer, again);
+                continue 'fewer;
+            }
+        }
+        return Ok(Verdict { plan, report });
+    }
+}
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use kitefork_standin::clients::{Answer, Ask, Clients, Effect};
 use kitefork_standin::link::{self, Link};
 use kitefork_standin::list::{CallEnd, Capacity, Entry, ListService, Mode};
+use kitefork_standin::odd::{self, Manner, OddAsk, OddClients};
 use kitefork_standin::{Clock, locked};
 use rand::{RngCore, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -21,7 +22,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::node::{Life, Node};
+use crate::node::{Life, Node, Setup};
 use crate::referee::{self, Broken, Ledgers, Rules};
 use crate::scenario::{Class, Known, Scenario, Step, What, span};
 
@@ -94,8 +95,38 @@
     number % scenario.fleet.zones
 }
 
+/// What is played with.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The node.
+    pub node: PathBuf,
+    /// The fault shim, for scenarios that have faults.
+    pub shim: PathBuf,
+}
+
+impl Programs {
+    /// A program, and the shim where cargo puts it beside that.
+    pub fn beside(node: &Path) -> Programs {
+        Programs { node: node.to_path_buf(), shim: node.with_file_name("libkitefork_fault_shim.so") }
+    }
+
+    fn setup(&self, scenario: &Scenario) -> Setup {
+        let mut variables = Vec::new();
+        let mut set = |name: &str, value: String| variables.push((name.to_string(), value));
+        if !scenario.fleet.faults.is_empty() {
+            set("LD_PRELOAD", self.shim.display().to_string());
+            set("KITEFORK_FAULTS", scenario.fleet.faults.clone());
+            set("KITEFORK_FAULT_SEED", scenario.seed.to_string());
+        }
+        if scenario.fleet.log_unread {
+            set("BALANCER_TRACE", "1".into());
+        }
+        Setup { variables, log_unread: scenario.fleet.log_unread }
+    }
+}
+
 /// Plays a scenario with a program.
-pub async fn run(scenario: &Scenario, program: &Path) -> io::Result<Report> {
+pub async fn run(scenario: &Scenario, programs: &Programs) -> io::Result<Report> {
     let folder = tempfile::tempdir()?;
     let clock = Clock::start();
     let build = &scenario.backend;
@@ -154,17 +185,21 @@
         locked(&parties.nodes[number]).configure(parties.config(number, &known))?;
     }
     let clients = Clients::new(clock);
+    let odd = OddClients::new(clock);
+    let setup = programs.setup(scenario);
     let begin = clock.now();
     let watch = tokio::spawn(front(parties.clone()));
     let asking = tokio::spawn(traffic(parties.clone(), clients.clone(), begin));
+    let disturbing = tokio::spawn(odd_traffic(parties.clone(), odd.clone(), begin));
     for (at, step, number) in parties.timeline() {
         tokio::time::sleep_until(clock.at(begin + at)).await;
-        parties.carry_out(&step, number, program)?;
+        parties.carry_out(&step, number, &programs.node, &setup)?;
     }
     tokio::time::sleep_until(clock.at(begin + span(scenario.length_s))).await;
     // Those that are out come to their end; asks stop well before it.
     let longest = scenario.traffic.class.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let _ = asking.await;
+    let _ = disturbing.await;
     tokio::time::sleep(ms(longest) + SLACK + Duration::from_millis(300)).await;
     watch.abort();
     parties.sample();
@@ -175,7 +210,7 @@
         // The run is over, whatever its state: its child ends with it.
         node.signal(Signal::KILL, clock);
     }
-    Ok(parties.report(&clients, &ledger, begin))
+    Ok(parties.report(&clients, &odd, &ledger, begin))
 }
 
 impl Parties {
@@ -223,9 +258,9 @@
         let zones: Vec<String> = (0..scenario.fleet.zones).map(|zone| format!("z{zone}")).collect();
         let seed = scenario.seed.wrapping_mul(7_919).wrapping_add(number as u64);
         json!({"name": format!("n{number}"), "discovery": self.discovery[number].to_string(),
-            "seed": format!("{seed:016x}"), "limits": {"sockets": 512, "memory_mb": 64},
+            "seed": format!("{seed:016x}"), "limits": {"sockets": scenario.fleet.sockets, "memory_mb": 64},
             "known": {"rev": 0, "all": true, "targets": known.iter().map(Entry::json).collect::<Vec<_>>()},
-            "settings": {"azs": zones, "kinds": ["m"], "membershipMode": "subscribe", "tickNs": 1_000_000,
+            "settings": {"azs": zones, "kinds": ["m"], "membershipMode": if scenario.list.pushed { "automatic" } else { "subscribe" }, "tickNs": 1_000_000,
                 "me": number, "zone": zone(scenario, number),
                 "siblings": scenario.fleet.siblings.unwrap_or(scenario.fleet.nodes),
                 "grades": grades, "tenants": [{"name": "acme", "quotaPerS": 1e9}],
@@ -248,6 +283,8 @@
                 | What::Stop
                 | What::Cont
                 | What::Reload
+                | What::ReloadHalf
+                | What::ReloadMissing
                 | What::ListCut => self.nodes.len(),
                 What::ListUp
                 | What::ListBusy
@@ -270,14 +307,20 @@
         all
     }
 
-    fn carry_out(self: &Arc<Self>, step: &Step, number: usize, program: &Path) -> io::Result<()> {
+    fn carry_out(
+        self: &Arc<Self>,
+        step: &Step,
+        number: usize,
+        program: &Path,
+        setup: &Setup,
+    ) -> io::Result<()> {
         let clock = self.clock;
         let signal = |signal| locked(&self.nodes[number]).signal(signal, clock);
         match step.what {
             What::Start => {
                 let mut node = locked(&self.nodes[number]);
                 node.reap(clock);
-                node.start(program, clock)?;
+                node.start(program, clock, setup)?;
             }
             What::Kill | What::Term => {
                 // What it knew then is all that its next life is given.
@@ -297,7 +340,22 @@
                 let mut stopped = locked(&self.stopped);
                 stopped.iter_mut().filter(|s| s.0 == number && s.2 == Duration::MAX).for_each(|s| s.2 = end);
             }
-            What::Reload => signal(Signal::HUP),
+            What::Reload => {
+                // Sound again, whatever was there before.
+                let known = self.list.list();
+                locked(&self.nodes[number]).configure(self.config(number, &known))?;
+                signal(Signal::HUP);
+            }
+            What::ReloadHalf => {
+                let config = self.config(number, &[]);
+                locked(&self.nodes[number]).configure_half(&config)?;
+                signal(Signal::HUP);
+            }
+            What::ReloadMissing => {
+                // It may be missing already.
+                let _ = locked(&self.nodes[number]).remove_configuration();
+                signal(Signal::HUP);
+            }
             What::ListUp => {
                 self.list.set(Mode::Up);
                 self.list_links.iter().for_each(|link| link.set(link::Health::Sound));
@@ -370,11 +428,12 @@
         }
     }
 
-    fn report(&self, clients: &Clients, ledger: &Ledger, begin: Duration) -> Report {
+    fn report(&self, clients: &Clients, odd: &OddClients, ledger: &Ledger, begin: Duration) -> Report {
         let scenario = &self.scenario;
         let lives: Vec<Life> = self.nodes.iter().flat_map(|node| locked(node).lives()).collect();
         let ledgers = Ledgers {
             asked: clients.asked(),
+            odd: odd.asked(),
             attempts: ledger.attempts(),
             told: self.list.told(),
             changes: self.list.changes(),
@@ -398,12 +457,18 @@
             let number = node.number;
             node.lines().into_iter().map(move |line| format!("n{number}: {line}"))
         });
-        let panics: Vec<String> = lines.filter(|line| line.contains("panicked")).collect();
+        let lines: Vec<String> = lines.collect();
+        // What the node itself found broken.
+        let violations: Vec<String> =
+            lines.iter().filter(|line| line.contains("kitefork: violation ")).cloned().collect();
+        let panics: Vec<String> = lines.into_iter().filter(|line| line.contains("panicked")).collect();
         let mut figures = self.figures(&ledgers, &broken, begin);
         figures.insert("panics".into(), panics.len() as f64);
         let unmet = scenario.unmet(&figures);
         let seconds = self.seconds(&ledgers, begin);
-        let broken = broken.into_iter().map(|b| format!("{}: {}", b.rule, b.story)).collect();
+        let mut broken: Vec<String> =
+            broken.into_iter().map(|b| format!("{}: {}", b.rule, b.story)).collect();
+        broken.extend(violations);
         Report { figures, seconds, broken, unmet, panics }
     }
 
@@ -549,6 +614,47 @@
     }
 }
 
+/// Clients that don't behave, from a process of Poisson, over the nodes that the front has admitted.
+async fn odd_traffic(parties: Arc<Parties>, odd: Arc<OddClients>, begin: Duration) {
+    let traffic = &parties.scenario.traffic;
+    let classes: Vec<&Class> =
+        traffic.class.iter().filter(|class| class.effect() != Some(Effect::Unsafe)).collect();
+    if traffic.odd_rate <= 0.0 || classes.is_empty() {
+        return;
+    }
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(parties.scenario.seed ^ 0x0dd);
+    let mut unit = move || (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+    let end = begin + span(traffic.to_s.unwrap_or(parties.scenario.length_s));
+    let mut at = begin + span(traffic.from_s);
+    let mut playing = tokio::task::JoinSet::new();
+    for number in 0u64.. {
+        at += span(-(1.0 - unit()).ln() / traffic.odd_rate);
+        if at >= end {
+            break;
+        }
+        tokio::time::sleep_until(parties.clock.at(at)).await;
+        let class = classes[(unit() * classes.len() as f64) as usize];
+        let leave = span(unit() * class.deadline_ms / 2_000.0);
+        let manner = match (unit() * 2.0 * odd::MANNERS.len() as f64) as usize {
+            place if place < odd::MANNERS.len() => odd::MANNERS[place],
+            _ => Manner::Leaves(leave),
+        };
+        let ready: Vec<usize> =
+            (0..parties.nodes.len()).filter(|n| parties.admitted[*n].load(Ordering::SeqCst)).collect();
+        let Some(node) = ready.get((unit() * ready.len() as f64) as usize).copied() else { continue };
+        let Some(address) = locked(&parties.nodes[node]).address() else { continue };
+        let ask = OddAsk {
+            txn: format!("odd{number}"),
+            class: class.name.clone(),
+            keyed: class.effect() == Some(Effect::Keyed),
+            patience: span(class.deadline_ms / 1_000.0),
+            manner,
+        };
+        playing.spawn(odd.clone().play(ask, node, address));
+    }
+    while playing.join_next().await.is_some() {}
+}
+
 async fn is_well(address: SocketAddr) -> bool {
     let ask = async {
         let mut stream = TcpStream::connect(address).await?;
--- a/crates/rig/tests/scenarios.rs
+++ b/crates/rig/tests/scenarios.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use kitefork_rig::scenario::{Expect, Scenario};
-use kitefork_rig::world;
+use kitefork_rig::world::{self, Programs};
 
 /// The program that this test run has built.
 fn program() -> PathBuf {
@@ -30,7 +30,7 @@
         Expect { figure: "nodes_without_list".into(), least: None, most: Some(0.0) },
         Expect { figure: "lives".into(), least: Some(nodes as f64), most: None },
     ];
-    let report = world::run(&scenario, &program()).await.unwrap();
+    let report = world::run(&scenario, &Programs::beside(&program())).await.unwrap();
     assert!(report.passed(), "{name}: {:#?} {:#?} {:#?}", report.broken, report.unmet, report.panics);
     if scenario.traffic.rate > 0.0 {
         assert!(report.figures["served"] > 0.3, "{name}: {:#?}", report.figures);
--- /dev/null
+++ b/crates/rig/tests/soak.rs
@@ -0,0 +1,49 @@
+//! A few fixed seeds of the soak, each with overlapping troubles over a dozen real processes.
+
+use std::path::{Path, PathBuf};
+
+use kitefork_rig::soak;
+use kitefork_rig::world::Programs;
+
+const NODES: usize = 12;
+
+/// The program and the shim that this test run has built.
+fn programs() -> Programs {
+    let test = std::env::current_exe().unwrap();
+    let built = test.parent().and_then(Path::parent).unwrap();
+    let node: PathBuf = built.join("kitefork");
+    let shim = test.with_file_name("libkitefork_fault_shim.so");
+    assert!(node.exists() && shim.exists(), "run the tests of the whole workspace");
+    Programs { node, shim }
+}
+
+async fn play(seed: u64) {
+    let verdict = soak::play(seed, NODES, &programs(), false).await.unwrap();
+    let (plan, report) = (&verdict.plan, &verdict.report);
+    assert!(report.passed(), "{plan}\n{:#?}\n{:#?}", report.broken.first(), report.panics.first());
+    assert!(report.figures["served"] > 0.1, "{plan}: {:#?}", report.figures);
+}
+
+/// One test a seed, so that they run side by side and fail by name.
+macro_rules! seeds {
+    ($($test:ident $seed:literal,)*) => {
+        $(#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+        async fn $test() {
+            play($seed).await;
+        })*
+    };
+}
+
+seeds! {
+    seed_1 1,
+    seed_2 2,
+    seed_3 3,
+    seed_4 4,
+}
+
+#[test]
+fn a_seed_draws_the_same_plan_and_other_seeds_other_ones() {
+    let text = |seed| soak::draw(seed, NODES).to_string();
+    assert_eq!(text(7), text(7));
+    assert_ne!(text(7), text(8));
+}
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -76,6 +76,8 @@
     pub uid: String,
     /// Small group of the backend.
     pub cell: u16,
+    /// How long the node would wait, as the request told.
+    pub told: Option<Duration>,
     /// When its last byte had come.
     pub arrived: Duration,
     /// When it ended.
@@ -233,12 +235,13 @@
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let header = |name: &str| Some(request.headers().get(name)?.to_str().ok()?.to_string());
         let (txn, key) = (header("x-txn").unwrap_or_default(), header("idempotency-key"));
+        let told = header("x-remaining-ms").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
         let body = request.into_body().collect().await;
         let arrived = self.clock.now();
         let mut held = {
             let mut rows = self.ledger.rows();
             let (uid, cell, end) = (self.uid.clone(), self.cell, AttemptEnd::Out);
-            rows.push(Attempt { txn: txn.clone(), key, uid, cell, arrived, ended: arrived, end });
+            rows.push(Attempt { txn: txn.clone(), key, uid, cell, told, arrived, ended: arrived, end });
             Held { backend: &self, place: rows.len() - 1, end: AttemptEnd::Broken, counted: false }
         };
         let mut answer = Response::new(Full::from(format!("{}:{txn}", self.uid)));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clients;
 pub mod link;
 pub mod list;
+pub mod odd;
 
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
