Whole answers with no length are forwarded: an orderly end makes them whole, a reset does not

Change: the backend's parser is open_ended; End completes the body, Broken does not. The unit test's old line stays: its far end closes with the request unread, which is a reset; an orderly end and a pending one stand beside it.

--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -91,7 +91,9 @@
             // A head as long as a client's, and what the node adds to it.
             outbox: Ring::new(MOST_BODY + 2 * MOST_HEAD).on(budget),
             inbox: Ring::new(MOST_HEAD + 1024).on(budget),
-            parser: Parser::responses().on(budget),
+            // An answer may have neither length nor chunks: an orderly end of the connection makes it whole, a
+            // reset does not.
+            parser: Parser::responses().open_ended().on(budget),
             deadline: Deadline::new(),
             registration: Registration::default(),
         }
@@ -267,7 +269,7 @@
 mod tests {
     use super::*;
     use rustix::net::{AddressFamily, SocketFlags, SocketType, socketpair};
-    use std::io::Write as _;
+    use std::io::{Read as _, Write as _};
     use std::os::unix::net::UnixStream;
 
     /// A fetch whose request is written, and the backend's end.
@@ -317,7 +319,7 @@
         assert_eq!(end("", true), Err(Outcome::Reset));
         assert_eq!(end("nonsense\r\n\r\n", false), Err(Outcome::Reset));
         assert_eq!(end(&ok.replace(": 2", ": 3221225472"), false), Err(Outcome::Reset));
-        // Long answers pass; one that ends with its connection could be cut short.
+        // Long answers pass; one with no length is whole at an orderly end, and not before.
         let long = "x".repeat(400_000);
         let (mut fetch, mut far) = waiting();
         far.set_nonblocking(false).unwrap();
@@ -334,7 +336,15 @@
         };
         assert_eq!(body.len(), 400_000);
         drop(sent.join());
+        // The far end has not read the request, so its close is a reset.
         assert_eq!(end(&ok.replace("Content-Length: 2", "A: b"), true), Err(Outcome::Reset));
+        let (mut fetch, mut far) = waiting();
+        far.write_all(ok.replace("Content-Length: 2", "A: b").as_bytes()).unwrap();
+        assert!(matches!(fetch.go_on(true), Progress::Going));
+        assert!(far.read(&mut [0; 64]).unwrap() > 0);
+        drop(far);
+        let Progress::Answered(head, body, reuse) = fetch.go_on(true) else { panic!("not answered") };
+        assert_eq!((outcome(&head), &*body, reuse), (Outcome::Ok, &b"hi"[..], Reuse::No));
         assert_eq!(end(&("HTTP/1.1 103 Early\r\n\r\n".repeat(9) + ok), false), Ok((Outcome::Ok, Reuse::Yes)));
         assert_eq!(end(&"HTTP/1.1 103 Early\r\n\r\n".repeat(99), false), Err(Outcome::Reset));
     }
