--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -7,6 +7,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 const MS: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MS;
 const START: Nanos = 100_000 * MS;
 
 fn class(effect: Effect) -> Class {
@@ -730,6 +731,27 @@
     assert!(feed.wait(5_000 * MS).contains(&Action::Subscribe(true)));
 }
 
+#[test]
+fn however_often_calls_fail_the_next_one_is_answered_within_six_seconds_of_the_last() {
+    // A change counts as told 6 s after the list service had it and could be reached; of these, 2 s are for the
+    // call itself.
+    for ask_within in [2 * SECOND, 10 * SECOND, 60 * SECOND] {
+        for seed in 0..40 {
+            let mut asking = Settings { ask_list: true, ..settings() };
+            asking.rules.ask_within = ask_within;
+            let mut feed = Feed::seeded(asking, vec![backend(1)], seed);
+            for failure in 0..8 {
+                feed.give(Event::ListFailed);
+                let before = feed.now;
+                while !feed.wait(50 * MS).contains(&Action::Subscribe(true)) {
+                    let waited = feed.now - before;
+                    assert!(waited <= 4 * SECOND, "{ask_within}, seed {seed}, failure {failure}: {waited}");
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn senseless_settings_are_named() {
     let named = |change: fn(&mut Settings)| {
