A failed call for the list is made again within 4 s; renewals in step from 200 backends on

Cause: on_list_failed, 0.6 of askWithinNs at most, whatever a change's 6 s leave. Now 4 s at most with its jitter, so that 2 s are left for the call.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -66,8 +66,11 @@
 /// At most this share of the listed backends is ejected; beyond, ejection fails open.
 const MAX_EJECTED: f64 = 0.5;
 
+/// Longest wait after a failed call for the list. A change counts as told 6 s after the list service had it and
+/// could be reached (protocol page); of these, 2 s are left for the call.
+const LONGEST_BACKOFF: Nanos = 3_990_000_000;
 /// Backends up to which shares are renewed at the full rate.
-const USUAL_LIST: f64 = 256.0;
+const USUAL_LIST: f64 = 200.0;
 
 const SECOND: f64 = 1e9;
 
@@ -1091,7 +1094,8 @@
             return;
         }
         let first = self.settings.rules.ask_within / 20;
-        let wait = first.saturating_mul(1 << self.ask_failures.min(3));
+        // The jitter below takes it to 1.5 times this at most.
+        let wait = first.saturating_mul(1 << self.ask_failures.min(3)).min(LONGEST_BACKOFF / 3 * 2);
         let wait = ((wait as f64 * (0.5 + unit(&mut self.rng))) as Nanos).saturating_add(self.settings.tick);
         self.ask_failures = self.ask_failures.saturating_add(1);
         self.agenda.add(now.saturating_add(wait), Task::Ask);
