--- a/src/balance_tests.rs
+++ b/src/balance_tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the split against shares worked out by hand.
 
-use super::{Balancer, SAMPLES, shares};
+use super::split::shares;
+use super::{Balancer, SAMPLES};
 use crate::interface::*;
 use kitefork_ground::Sum;
 
