--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,6 +1,7 @@
 //! `kitefork-rig`: see `docs/rig.md`.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -65,6 +66,9 @@
         /// Processes of the node.
         #[arg(long, default_value_t = 24)]
         nodes: usize,
+        /// Leaves a seed that fails as it is.
+        #[arg(long)]
+        no_shrink: bool,
         /// The program that nodes run; the fault shim lies beside it.
         #[arg(long, default_value = "target/release/kitefork")]
         program: PathBuf,
@@ -99,12 +103,13 @@
 /// Stories that are printed of a seed that fails.
 const MOST_STORIES: usize = 5;
 
-fn run_soak(from: u64, seeds: u64, nodes: usize, program: &Path) -> Result<bool, String> {
+fn run_soak(seeds: Range<u64>, nodes: usize, shrink: bool, program: &Path) -> Result<bool, String> {
     let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     let programs = Programs::beside(program);
     let mut failed = Vec::new();
-    for seed in from..from + seeds {
-        let verdict = runtime.block_on(soak::play(seed, nodes, &programs, true));
+    let count = seeds.clone().count();
+    for seed in seeds {
+        let verdict = runtime.block_on(soak::play(seed, nodes, &programs, shrink));
         let verdict = verdict.map_err(|error| format!("{}: {error}", program.display()))?;
         let report = &verdict.report;
         let word = if report.passed() { "passed" } else { "FAILED" };
@@ -120,7 +125,7 @@
             failed.push(seed);
         }
     }
-    println!("{} of {seeds} seeds passed; failed: {failed:?}", seeds as usize - failed.len());
+    println!("{} of {count} seeds passed; failed: {failed:?}", count - failed.len());
     Ok(failed.is_empty())
 }
 
@@ -215,7 +220,9 @@
             }
             Ok(true)
         }
-        Command::Soak { from, seeds, nodes, program } => run_soak(from, seeds, nodes, &program),
+        Command::Soak { from, seeds, nodes, no_shrink, program } => {
+            run_soak(from..from + seeds, nodes, !no_shrink, &program)
+        }
         Command::Scale { program, rounds } => run_scale(&program, rounds),
         Command::List { folder } => {
             let listed =
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -278,7 +278,8 @@
                 self.settle();
             }
         }
-        self.log.line(self.now, "counts", &self.counters);
+        let walks = self.reqs.full_walks();
+        self.log.line(self.now, "counts", format_args!("full_walks={walks} {}", self.counters));
         self.log.line(self.now, "end", "all answered");
         Ok(())
     }
--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -204,6 +204,11 @@
         self.table.get(id).map(|req| &req.cargo)
     }
 
+    /// Draws of the decisions that had to walk the whole list of backends.
+    pub fn full_walks(&self) -> u64 {
+        self.balancer.full_walks()
+    }
+
     /// The client session that waits for it.
     pub fn owner(&self, id: u32) -> Option<u32> {
         self.table.get(id).map(|req| req.owner)
--- a/src/balance/admission.rs
+++ b/src/balance/admission.rs
@@ -110,7 +110,7 @@
     }
 
     /// Worth of a class for its usual work.
-    pub(super) fn value(&self, class: usize) -> f64 {
+    fn value(&self, class: usize) -> f64 {
         let work = if self.settings.worth_by_work { 1.0 } else { self.classes[class].all.base.max(1e-3) };
         self.settings.classes[class].worth / work
     }
@@ -127,7 +127,7 @@
 
     /// Multiple of the usual pause between renewals of the shares: a renewal walks the whole list, so with long
     /// lists it comes more seldom and costs the same over time.
-    pub(super) fn renewal_stretch(&self) -> f64 {
+    fn renewal_stretch(&self) -> f64 {
         (self.servers.len() as f64 / USUAL_LIST).max(1.0)
     }
 
--- a/src/balance/attempts.rs
+++ b/src/balance/attempts.rs
@@ -28,7 +28,7 @@
     }
 
     /// When a request that still waits can't be answered in time any more.
-    pub(super) fn give_up(&self, id: RequestId) -> Nanos {
+    fn give_up(&self, id: RequestId) -> Nanos {
         let open = &self.open[&id];
         let class = usize::from(open.request.class.0);
         // Where misses are counted apart, a refusal within the aim is none, and a late answer is one.
@@ -81,7 +81,7 @@
     /// connections that fall silent, which cost a request all its time and hold room for as long, so one
     /// that can't be called off yet is looked at again. Harm: work is done twice where backends are only
     /// slow; the storm limit bounds it.
-    pub(super) fn call_off(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
+    fn call_off(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
         let (open, limits) = (&self.open[&id], &self.settings.limits);
         let class = usize::from(open.request.class.0);
         let Some((place, last)) = open.attempts.iter().enumerate().next_back() else { return };
@@ -202,7 +202,7 @@
     }
 
     /// Gives the final answer: a refusal where that is true, else a failure.
-    pub(super) fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id).filter(|o| !o.finished) else { return };
         if self.may_refuse(open) {
             actions.push(Action::Refuse { request: id, retry_after: self.settings.limits.max_retry_after });
--- a/src/balance/draw.rs
+++ b/src/balance/draw.rs
@@ -18,14 +18,14 @@
 
     /// An attempt of `open` may go to this backend now, which has room and is not ejected. Ejected backends have
     /// no share, so they would get all that finds no room elsewhere.
-    pub(super) fn is_usable(&self, now: Nanos, open: &Open, server: &Server) -> bool {
+    fn is_usable(&self, now: Nanos, open: &Open, server: &Server) -> bool {
         let sound = server.ejected_until <= now || self.failed_open;
         sound && Self::has_room(server) && self.may_send(now, open, server)
     }
 
     /// What must not run twice is not what finds out whether one that failed is sound; where many nodes share a
     /// backend, a time-out there tells of a crowd.
-    pub(super) fn wants_proven(&self, open: &Open) -> bool {
+    fn wants_proven(&self, open: &Open) -> bool {
         let once = |class: &Class| class.effect == Effect::Unsafe;
         let classes = &self.settings.classes;
         let of_open = &classes[usize::from(open.request.class.0)];
@@ -34,7 +34,7 @@
 
     /// Draws among the support set, or an exploration by its weight. `None` where neither finds a backend that
     /// is legal now and was not tried.
-    pub(super) fn draw_candidate(&mut self, now: Nanos, id: RequestId) -> Option<BackendId> {
+    fn draw_candidate(&mut self, now: Nanos, id: RequestId) -> Option<BackendId> {
         let (dice, place) = (unit(&mut self.rng), unit(&mut self.rng));
         let again = unit(&mut self.rng);
         let open = &self.open[&id];
@@ -58,7 +58,7 @@
     }
 
     /// Draws among the whole list.
-    pub(super) fn draw_from_all(&mut self, now: Nanos, id: RequestId) -> Option<BackendId> {
+    fn draw_from_all(&mut self, now: Nanos, id: RequestId) -> Option<BackendId> {
         let (dice, place) = (unit(&mut self.rng), unit(&mut self.rng));
         let open = &self.open[&id];
         let mut pool: Vec<&Server> = self.servers.values().filter(|s| self.is_usable(now, open, s)).collect();
@@ -72,7 +72,7 @@
         drawn.or_else(|| pick(&pool, place, |s| s.explore)).or_else(|| pick(&pool, place, |_| 1.0))
     }
 
-    pub(super) fn prefer_proven(&self, open: &Open, pool: &mut Vec<&Server>) {
+    fn prefer_proven(&self, open: &Open, pool: &mut Vec<&Server>) {
         let proven = |s: &&Server| s.streak == 0.0;
         if self.wants_proven(open) && pool.iter().any(proven) {
             pool.retain(proven);
@@ -80,13 +80,7 @@
     }
 
     /// The backend at `place` of the shares, idle ones first.
-    pub(super) fn pick_shared(
-        &self,
-        now: Nanos,
-        open: &Open,
-        pool: &[&Server],
-        place: f64,
-    ) -> Option<BackendId> {
+    fn pick_shared(&self, now: Nanos, open: &Open, pool: &[&Server], place: f64) -> Option<BackendId> {
         let part = |whether: bool, weight: f64| if whether { weight } else { 0.0 };
         let lately = now.saturating_sub((self.longest_aim * SECOND) as Nanos);
         let quick = |s: &Server| s.out == 0.0 && s.last < 1.0 && s.heard >= lately;
--- a/src/balance/legality.rs
+++ b/src/balance/legality.rs
@@ -34,7 +34,7 @@
     }
 
     /// Rule 4: this node's share of what a cold backend can take, in whole sends that are saved up for.
-    pub(super) fn cold_room(&self, now: Nanos, server: &Server) -> bool {
+    fn cold_room(&self, now: Nanos, server: &Server) -> bool {
         self.warmth(now, server) >= 1.0 || server.cold_credit >= 1.0
     }
 
--- a/src/balance/membership.rs
+++ b/src/balance/membership.rs
@@ -46,7 +46,7 @@
     }
 
     /// Takes what a list says of one backend.
-    pub(super) fn take_entry(&mut self, now: Nanos, entry: Backend) {
+    fn take_entry(&mut self, now: Nanos, entry: Backend) {
         let cold_credit = unit(&mut self.rng);
         let room = self.first_room();
         let fresh =
@@ -61,7 +61,7 @@
     }
 
     /// Forgets backends that are gone and have nothing out, of these and of those that had when they went.
-    pub(super) fn forget_gone(&mut self, named: &[BackendId]) {
+    fn forget_gone(&mut self, named: &[BackendId]) {
         self.lingering.extend(named);
         let servers = &mut self.servers;
         self.lingering.retain(|id| {
--- a/src/balance/split.rs
+++ b/src/balance/split.rs
@@ -95,7 +95,7 @@
     /// Marks the part of its zone that this node uses first: by its number, a stretch of the backends in the
     /// order that all nodes have in common, so that parts cover the zone evenly. Guards against nodes that
     /// crowd one backend beside an idle one, as none knows what the others have out.
-    pub(super) fn take_part(&mut self) {
+    fn take_part(&mut self) {
         let mut marks: BTreeMap<ZoneId, Vec<u64>> = BTreeMap::new();
         for server in self.ready() {
             marks.entry(server.entry.zone).or_default().push(server.entry.mark);
@@ -114,7 +114,7 @@
     }
 
     /// Fewer completions of a backend come in the longest memory than an estimate wants.
-    pub(super) fn starved(&self, now: Nanos) -> bool {
+    fn starved(&self, now: Nanos) -> bool {
         let rate = self.per_second(now, self.arrivals) / (self.servers.len().max(1) as f64);
         rate * MEMORY_AIMS * self.longest_aim < MEMORY
     }
@@ -142,7 +142,7 @@
     /// pooled for its kind, its cell, its zone, and for being cold. Guards against starved estimates behind
     /// many nodes, and against what strikes all of one label at once (a silent rack, a zone cut off). Harm: a
     /// sound backend among bad ones gets little.
-    pub(super) fn priors(&self, seconds: f64) -> (Vec<(f64, f64)>, f64) {
+    fn priors(&self, seconds: f64) -> (Vec<(f64, f64)>, f64) {
         let pooled = self.ready().fold((0.0, 0.0), |sum, s| (sum.0 + s.spent, sum.1 + s.done));
         let mean = if pooled.1 > 0.0 { pooled.0 / pooled.1 } else { 0.0 };
         let leaning = |pool: &Sum| pool.lean(POOL_PRIOR);
