--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -8,6 +8,7 @@
 use rustix::io::Errno;
 use rustix::net::RecvFlags;
 
+use crate::arrival::Arrival;
 use crate::clock::{MS, SECOND};
 use crate::http1::{self, Bad, Head, MOST_ANSWER, MOST_HEAD, Parser, Start};
 use crate::net::{self, Registration};
@@ -81,40 +82,6 @@
     pub registration: Registration,
 }
 
-/// When bytes of a session can have come at the earliest. The kernel does not say when they came, so that is
-/// the last time at which its socket was seen empty. What came while the process stood still counts from there.
-#[derive(Debug, Clone, Copy)]
-struct Arrival {
-    /// When the socket was last read empty.
-    emptied: Nanos,
-    /// Since when an event is given for what comes; before that an empty look says nothing of this socket.
-    watched: Nanos,
-    /// More may lie in the socket than was read.
-    unread: bool,
-    /// When the first byte of the inbox can have come at the earliest.
-    oldest: Nanos,
-}
-
-/// A gap between two looks up to this long is the loop's own: it waits no longer, and what comes wakes it.
-/// It is within the slack of the time told to backends.
-const UNNOTICED: Nanos = 80 * MS;
-
-impl Arrival {
-    fn new(now: Nanos, queued: Nanos) -> Arrival {
-        Arrival { emptied: queued, watched: now, unread: false, oldest: now }
-    }
-
-    fn emptied(&mut self, now: Nanos) {
-        (self.emptied, self.unread) = (now, false);
-    }
-
-    fn of_bytes_read_at(&self, now: Nanos, looked: Nanos) -> Nanos {
-        let seen_by_loop = !self.unread && looked >= self.watched;
-        let empty = if seen_by_loop { self.emptied.max(looked) } else { self.emptied };
-        if now.saturating_sub(empty) > UNNOTICED { empty } else { now }
-    }
-}
-
 /// What reading a session came to.
 pub enum Intake {
     /// Nothing whole yet.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,6 +3,7 @@
 //! 2 when the configuration is wrong.
 #![forbid(unsafe_code)]
 
+mod arrival;
 mod client;
 mod clock;
 mod config;
