The referee judges a send by what was true when it came, not by a start that came later

The referee was wrong, the node was not. Replaced by as strict a check (the last change before the attempt); a planted send before the first start is still found, with a second start or drain behind it.

--- a/crates/rig/src/referee.rs
+++ b/crates/rig/src/referee.rs
@@ -236,9 +236,10 @@
         let before = attempt.arrived.saturating_sub(rules.grace + LATE);
         let rev = told.get(node).into_iter().flatten().filter(|n| n.at <= before).map(|n| n.rev).max();
         let known = changes.iter().rev().find(|change| Some(change.0) <= rev);
-        let later =
-            changes.last().is_some_and(|change| change.2.state == "Ready" && change.1 <= attempt.arrived);
-        if known.is_some_and(|change| change.2.state != "Ready") && !later {
+        // It may have been told since that the backend is back; what came after the attempt says nothing of it.
+        let last = changes.iter().rev().find(|change| change.1 <= attempt.arrived);
+        let is_back = last.is_some_and(|change| change.2.state == "Ready");
+        if known.is_some_and(|change| change.2.state != "Ready") && !is_back {
             broken.push(Broken {
                 rule: "sent after a drain was told",
                 story: format!("node {node}: {attempt:?}"),
@@ -394,7 +395,13 @@
         assert_eq!(judged(1_100, 900, drain.clone()), [""; 0]);
         assert_eq!(judged(1_100, 600, drain.clone()), ["sent after a drain was told"]);
         let back = [drain, vec![(3, MS(1_000), entry("Ready"))]].concat();
-        assert_eq!(judged(1_100, 600, back), [""; 0]);
+        assert_eq!(judged(1_100, 600, back.clone()), [""; 0]);
+        // A second start, or another drain, after the attempt.
+        for state in ["Ready", "Terminating"] {
+            let again = [back.clone(), vec![(4, MS(5_000), entry(state))]].concat();
+            assert_eq!(judged(1_100, 600, again.clone()), [""; 0]);
+            assert_eq!(judged(950, 450, again), ["sent after a drain was told"]);
+        }
         // Thirty in a hundred of a hundred a second, three times, for two seconds: 180, and some for chance.
         let crowd = |count: u64| {
             let attempts =
