--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -83,9 +83,11 @@
     unsafe { libc::syscall(libc::SYS_nanosleep, &raw const time, std::ptr::null_mut::<timespec>()) };
 }
 
-/// Defines a call that a plan may strike. The last argument names the length that `short` cuts, if it has one.
+/// Defines a call that a plan may strike. The last argument names the length that `short` cuts, if it has
+/// one.
 macro_rules! intercept {
-    ($call:expr, $name:literal, fn $function:ident($($argument:ident: $type:ty),*) -> $result:ty $(, $length:ident)?) => {
+    ($call:expr, $name:literal,
+        fn $function:ident($($argument:ident: $type:ty),*) -> $result:ty $(, $length:ident)?) => {
         /// Intercepted; behaves as the C library's function unless the plan strikes.
         ///
         /// # Safety
@@ -120,11 +122,13 @@
     };
 }
 
-intercept!(Call::Accept, c"accept", fn accept(fd: c_int, address: *mut sockaddr, length: *mut socklen_t) -> c_int);
+intercept!(Call::Accept, c"accept",
+    fn accept(fd: c_int, address: *mut sockaddr, length: *mut socklen_t) -> c_int);
 intercept!(Call::Accept, c"accept4",
     fn accept4(fd: c_int, address: *mut sockaddr, length: *mut socklen_t, flags: c_int) -> c_int);
 intercept!(Call::Socket, c"socket", fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int);
-intercept!(Call::Connect, c"connect", fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int);
+intercept!(Call::Connect, c"connect",
+    fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int);
 intercept!(Call::Send, c"send",
     fn send(fd: c_int, bytes: *const c_void, length: size_t, flags: c_int) -> ssize_t, length);
 intercept!(Call::Recv, c"recv",
--- a/crates/fault-shim/src/plan.rs
+++ b/crates/fault-shim/src/plan.rs
@@ -184,7 +184,8 @@
     errno(text).map(Fault::Errno)
 }
 
-/// The errno values that `accept(2)`, `socket(2)`, `connect(2)`, `send(2)`, `recv(2)` and `epoll(7)` document.
+/// The errno values that `accept(2)`, `socket(2)`, `connect(2)`, `send(2)`, `recv(2)` and `epoll(7)`
+/// document.
 fn errno(name: &str) -> Option<i32> {
     Some(match name {
         "EINTR" => libc::EINTR,
--- a/crates/rig/src/referee.rs
+++ b/crates/rig/src/referee.rs
@@ -236,7 +236,8 @@
         let before = attempt.arrived.saturating_sub(rules.grace + LATE);
         let rev = told.get(node).into_iter().flatten().filter(|n| n.at <= before).map(|n| n.rev).max();
         let known = changes.iter().rev().find(|change| Some(change.0) <= rev);
-        // It may have been told since that the backend is back; what came after the attempt says nothing of it.
+        // It may have been told since that the backend is back; what came after the attempt says nothing
+        // of it.
         let last = changes.iter().rev().find(|change| change.1 <= attempt.arrived);
         let is_back = last.is_some_and(|change| change.2.state == "Ready");
         if known.is_some_and(|change| change.2.state != "Ready") && !is_back {
--- a/crates/rig/src/scale.rs
+++ b/crates/rig/src/scale.rs
@@ -1,5 +1,5 @@
-//! What one node needs with a short list of backends and with a long one, under the same traffic, judged by the
-//! allowances of the operators' acceptance.
+//! What one node needs with a short list of backends and with a long one, under the same traffic, judged
+//! by the allowances of the operators' acceptance.
 
 use std::collections::BTreeMap;
 
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -257,12 +257,13 @@
                     "giveUpNs": ns(class.deadline_ms), "importance": class.worth})
             })
             .collect();
+        let mode = if scenario.list.pushed { "automatic" } else { "subscribe" };
         let zones: Vec<String> = (0..scenario.fleet.zones).map(|zone| format!("z{zone}")).collect();
         let seed = scenario.seed.wrapping_mul(7_919).wrapping_add(number as u64);
         json!({"name": format!("n{number}"), "discovery": self.discovery[number].to_string(),
             "seed": format!("{seed:016x}"), "limits": {"sockets": scenario.fleet.sockets, "memory_mb": 64},
             "known": {"rev": 0, "all": true, "targets": known.iter().map(Entry::json).collect::<Vec<_>>()},
-            "settings": {"azs": zones, "kinds": ["m"], "membershipMode": if scenario.list.pushed { "automatic" } else { "subscribe" }, "tickNs": 1_000_000,
+            "settings": {"azs": zones, "kinds": ["m"], "membershipMode": mode, "tickNs": 1_000_000,
                 "me": number, "zone": zone(scenario, number),
                 "siblings": scenario.fleet.siblings.unwrap_or(scenario.fleet.nodes),
                 "grades": grades, "tenants": [{"name": "acme", "quotaPerS": 1e9}],
--- a/node/src/arrival.rs
+++ b/node/src/arrival.rs
@@ -5,7 +5,8 @@
 use crate::clock::MS;
 
 /// When bytes of a session can have come at the earliest. The kernel does not say when they came, so that is
-/// the last time at which its socket was seen empty. What came while the process stood still counts from there.
+/// the last time at which its socket was seen empty. What came while the process stood still counts from
+/// there.
 #[derive(Debug, Clone, Copy)]
 pub struct Arrival {
     /// When the socket was last read empty.
@@ -33,8 +34,8 @@
         (self.emptied, self.unread) = (now, false);
     }
 
-    /// When bytes that are read at `now` can have come; `looked` is when the loop last saw all sockets without an
-    /// event.
+    /// When bytes that are read at `now` can have come; `looked` is when the loop last saw all sockets
+    /// without an event.
     pub fn of_bytes_read_at(&self, now: Nanos, looked: Nanos) -> Nanos {
         let seen_by_loop = !self.unread && looked >= self.watched;
         let empty = if seen_by_loop { self.emptied.max(looked) } else { self.emptied };
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -91,8 +91,8 @@
             // A head as long as a client's, and what the node adds to it.
             outbox: Ring::new(MOST_BODY + 2 * MOST_HEAD).on(budget),
             inbox: Ring::new(MOST_HEAD + 1024).on(budget),
-            // An answer may have neither length nor chunks: an orderly end of the connection makes it whole, a
-            // reset does not.
+            // An answer may have neither length nor chunks: an orderly end of the connection makes it
+            // whole, a reset does not.
             parser: Parser::responses().open_ended().on(budget),
             deadline: Deadline::new(),
             registration: Registration::default(),
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -151,8 +151,8 @@
 }
 
 impl Node {
-    /// Starts to listen. The first of `signals` comes when the node is to end, the second when it is to read its
-    /// configuration anew.
+    /// Starts to listen. The first of `signals` comes when the node is to end, the second when it is to
+    /// read its configuration anew.
     pub fn start(config: Config, signals: [Signal; 2]) -> Result<Node, String> {
         let clock = Clock::start();
         let now = clock.read();
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -59,8 +59,8 @@
         self.go_on(number, false);
     }
 
-    /// An attempt whose connection this machine can't start now is neither a failed one nor speaks against the
-    /// backend: it is tried again for as long as a connection may take.
+    /// An attempt whose connection this machine can't start now is neither a failed one nor speaks against
+    /// the backend: it is tried again for as long as a connection may take.
     fn postpone(&mut self, dial: PostponedDial) {
         self.counters.add("dial", "postponed");
         if self.postponed.is_empty() {
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -56,7 +56,8 @@
                     }
                     _ => {
                         self.log.line(self.now, "accept-failed", error);
-                        // Out of descriptors: an idle session gives up its own. No spin on what can't be taken.
+                        // Out of descriptors: an idle session gives up its own. No spin on what can't be
+                        // taken.
                         if let Some((.., number)) = self.spare_session() {
                             self.spare(number);
                         }
--- a/node/src/start_time.rs
+++ b/node/src/start_time.rs
@@ -2,9 +2,9 @@
 //!
 //! Lists give a start as wall-clock time, and any wall clock may be stepped. So what the list says is bounded
 //! by what the node itself has heard, and when: a start is not later than the moment it was heard, and where
-//! the node knew an earlier state of the backend, not much earlier than that. Of two readings that remain, the
-//! later one counts: a backend that is taken for younger than it is gets less for some seconds; one that is
-//! taken for older may be pushed over.
+//! the node knew an earlier state of the backend, not much earlier than that. Of two readings that remain,
+//! the later one counts: a backend that is taken for younger than it is gets less for some seconds; one
+//! that is taken for older may be pushed over.
 //!
 //! What can't be known: a node that starts with a wrong clock has heard nothing before its first list. It
 //! believes its clock then, but for starts that lie ahead.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -75,8 +75,8 @@
 /// At most this share of the listed backends is ejected; beyond, ejection fails open.
 const MAX_EJECTED: f64 = 0.5;
 
-/// Longest wait after a failed call for the list. A change counts as told 6 s after the list service had it and
-/// could be reached (protocol page); of these, 2 s are left for the call.
+/// Longest wait after a failed call for the list. A change counts as told 6 s after the list service had
+/// it and could be reached (protocol page); of these, 2 s are left for the call.
 const LONGEST_BACKOFF: Nanos = 3_990_000_000;
 /// Backends up to which shares are renewed at the full rate.
 const USUAL_LIST: f64 = 200.0;
--- a/src/balance/admission.rs
+++ b/src/balance/admission.rs
@@ -1,5 +1,5 @@
-//! Admission: concurrency limits of backends, the pace of attempts where a limit is too coarse, and the order of
-//! requests that wait.
+//! Admission: concurrency limits of backends, the pace of attempts where a limit is too coarse, and the
+//! order of requests that wait.
 
 use super::*;
 
@@ -125,8 +125,8 @@
         if usual { 0 } else { deadline.saturating_sub(request.patience) }
     }
 
-    /// Multiple of the usual pause between renewals of the shares: a renewal walks the whole list, so with long
-    /// lists it comes more seldom and costs the same over time.
+    /// Multiple of the usual pause between renewals of the shares: a renewal walks the whole list, so with
+    /// long lists it comes more seldom and costs the same over time.
     fn renewal_stretch(&self) -> f64 {
         (self.servers.len() as f64 / USUAL_LIST).max(1.0)
     }
--- a/src/balance/draw.rs
+++ b/src/balance/draw.rs
@@ -16,15 +16,15 @@
         self.draw_from_all(now, id)
     }
 
-    /// An attempt of `open` may go to this backend now, which has room and is not ejected. Ejected backends have
-    /// no share, so they would get all that finds no room elsewhere.
+    /// An attempt of `open` may go to this backend now, which has room and is not ejected. Ejected
+    /// backends have no share, so they would get all that finds no room elsewhere.
     fn is_usable(&self, now: Nanos, open: &Open, server: &Server) -> bool {
         let sound = server.ejected_until <= now || self.failed_open;
         sound && Self::has_room(server) && self.may_send(now, open, server)
     }
 
-    /// What must not run twice is not what finds out whether one that failed is sound; where many nodes share a
-    /// backend, a time-out there tells of a crowd.
+    /// What must not run twice is not what finds out whether one that failed is sound; where many nodes
+    /// share a backend, a time-out there tells of a crowd.
     fn wants_proven(&self, open: &Open) -> bool {
         let once = |class: &Class| class.effect == Effect::Unsafe;
         let classes = &self.settings.classes;
@@ -32,8 +32,8 @@
         once(of_open) && !classes.iter().all(once) && !self.coarse()
     }
 
-    /// Draws among the support set, or an exploration by its weight. `None` where neither finds a backend that
-    /// is legal now and was not tried.
+    /// Draws among the support set, or an exploration by its weight. `None` where neither finds a backend
+    /// that is legal now and was not tried.
     fn draw_candidate(&mut self, now: Nanos, id: RequestId) -> Option<BackendId> {
         let (dice, place) = (unit(&mut self.rng), unit(&mut self.rng));
         let again = unit(&mut self.rng);
--- a/src/balance/ejection.rs
+++ b/src/balance/ejection.rs
@@ -1,5 +1,5 @@
-//! Outlier ejection: backends that fail far more often than the rest get nothing for a while, with a backoff and
-//! a floor on how many.
+//! Outlier ejection: backends that fail far more often than the rest get nothing for a while, with a
+//! backoff and a floor on how many.
 
 use super::*;
 
--- a/src/balance/split.rs
+++ b/src/balance/split.rs
@@ -1,5 +1,5 @@
-//! The optimal split (9) of the paper over the backends that this node knows, renewed at a bounded rate, and the
-//! weights of exploration, K ln t / t.
+//! The optimal split (9) of the paper over the backends that this node knows, renewed at a bounded rate,
+//! and the weights of exploration, K ln t / t.
 
 use super::*;
 
--- a/src/candidates.rs
+++ b/src/candidates.rs
@@ -1,9 +1,10 @@
 //! Which backends a draw looks at, so that its cost does not follow the length of the list.
 //!
 //! The split (9) gives a share to the backends that this node knows, its support set; the exploration gives a
-//! small weight to every ready backend (DESIGN page, K ln t / t). Both are renewed together. A draw then walks
-//! the support set alone, and finds an exploration by its place in the running sums of the weights. Where what
-//! is found is not legal now, the caller walks the whole list; that is exact in distribution, and counted.
+//! small weight to every ready backend (DESIGN page, K ln t / t). Both are renewed together. A draw then
+//! walks the support set alone, and finds an exploration by its place in the running sums of the weights.
+//! Where what is found is not legal now, the caller walks the whole list; that is exact in distribution,
+//! and counted.
 
 use crate::interface::BackendId;
 use crate::state::Server;
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -733,8 +733,8 @@
 
 #[test]
 fn however_often_calls_fail_the_next_one_is_answered_within_six_seconds_of_the_last() {
-    // A change counts as told 6 s after the list service had it and could be reached; of these, 2 s are for the
-    // call itself.
+    // A change counts as told 6 s after the list service had it and could be reached; of these, 2 s are
+    // for the call itself.
     for ask_within in [2 * SECOND, 10 * SECOND, 60 * SECOND] {
         for seed in 0..40 {
             let mut asking = Settings { ask_list: true, ..settings() };
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -44,8 +44,8 @@
 fn the_cost_of_decisions_does_not_follow_the_length_of_the_list() {
     let least = |count| (0..4).map(|_| cost(count)).min().expect("some plays");
     let (usual, longest) = (least(200), least(3_200));
-    // Sixteen times the backends. The acceptance allows 1.4 times for the node as a whole (make scale), of which
-    // the decisions are a small part; the walk of the whole list took eleven times.
+    // Sixteen times the backends. The acceptance allows 1.4 times for the node as a whole (make scale), of
+    // which the decisions are a small part; the walk of the whole list took eleven times.
     assert!(longest < 3 * usual, "{usual:?} with 200 backends, {longest:?} with 3,200");
 }
 
