--- a/crates/fault-shim/src/plan.rs
+++ b/crates/fault-shim/src/plan.rs
@@ -206,6 +206,9 @@
         "ECONNREFUSED" => libc::ECONNREFUSED,
         "ECONNRESET" => libc::ECONNRESET,
         "ETIMEDOUT" => libc::ETIMEDOUT,
+        "ENOPROTOOPT" => libc::ENOPROTOOPT,
+        "EOPNOTSUPP" => libc::EOPNOTSUPP,
+        "ENONET" => libc::ENONET,
         "EPIPE" => libc::EPIPE,
         _ => return None,
     })
--- a/node/tests/terms/faults.rs
+++ b/node/tests/terms/faults.rs
@@ -34,6 +34,10 @@
         "epoll_ctl=ENOSPC,chance:0.2",
         "socket=ENFILE,chance:0.5",
         "socket=ENOBUFS,chance:0.5",
+        "socket=ENOMEM,chance:0.5",
+        "connect=ENETDOWN,chance:0.5",
+        "connect=ENETUNREACH,chance:0.5",
+        "recv=ENOBUFS,chance:0.12",
         "connect=EADDRNOTAVAIL,chance:0.5",
         "connect=ENOBUFS,chance:0.5",
         "poll=ENOMEM,chance:0.3",
@@ -46,9 +50,24 @@
 
 #[test]
 fn an_accept_that_fails_for_a_moment_holds_up_no_other_client() {
-    for errno in
-        ["ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "ECONNABORTED", "ENETDOWN", "EHOSTUNREACH", "EPERM"]
-    {
+    for errno in [
+        "ENFILE",
+        "ENOBUFS",
+        "ENOMEM",
+        "EPROTO",
+        "ECONNABORTED",
+        "ENETDOWN",
+        "ENETUNREACH",
+        "EHOSTDOWN",
+        "EHOSTUNREACH",
+        "ENOPROTOOPT",
+        "EOPNOTSUPP",
+        "ENONET",
+        "EPERM",
+        "ETIMEDOUT",
+        "ECONNRESET",
+        "EINTR",
+    ] {
         let (world, _backend) = world(&format!("accept={errno},every:5"));
         let mut idle = world.client();
         idle.send(crate::common::HEALTH).expect("ok\n");
@@ -106,6 +125,13 @@
     for plan in [
         "recv=ETIMEDOUT,chance:0.05",
         "recv=EHOSTUNREACH,chance:0.05",
+        "recv=ECONNRESET,chance:0.05",
+        "recv=ENETUNREACH,chance:0.05",
+        "send=ECONNRESET,chance:0.05",
+        "send=EHOSTUNREACH,chance:0.05",
+        "send=ENETUNREACH,chance:0.05",
+        "connect=ETIMEDOUT,chance:0.3",
+        "connect=ECONNRESET,chance:0.3",
         "send=EPIPE,chance:0.05",
         "send=ETIMEDOUT,chance:0.05",
         "connect=ECONNREFUSED,chance:0.3",
@@ -132,3 +158,11 @@
     world.terminate();
     assert!(world.wait_exit().success());
 }
+
+#[test]
+fn a_process_out_of_descriptors_for_a_moment_answers_all_the_same() {
+    for plan in ["accept=EMFILE,chance:0.1", "socket=EMFILE,chance:0.3"] {
+        let (world, _backend) = world(plan);
+        assert_eq!(ask(&world, 60), 60, "{plan}");
+    }
+}
