One name for an attempt of a request, in place of the same match written three times

Found on reading the change again: the pattern on Job::Req stood twice in fetches.rs and once in fetch.rs. No change of behaviour; 49 unit and 95 socket tests of the node pass.

--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -27,6 +27,13 @@
     Probe { backend: BackendId, sent: Nanos },
 }
 
+impl Job {
+    /// It is an attempt of this request.
+    pub fn is_attempt_of(self, request: u32) -> bool {
+        matches!(self, Job::Req { req, .. } if req == request)
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
     /// The connection is not up.
@@ -101,7 +108,7 @@
 
     /// It carries an attempt of this request that is not written whole, and so never ran.
     pub fn is_unwritten_of(&self, req: u32) -> bool {
-        matches!(self.job, Some(Job::Req { req: its, .. }) if its == req) && self.phase != Phase::Waiting
+        self.job.is_some_and(|job| job.is_attempt_of(req)) && self.phase != Phase::Waiting
     }
 
     /// How an attempt ends that is broken off now: what is not written whole never ran.
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -86,8 +86,7 @@
 
     /// Ends the postponed attempt of a request, if it has one: it never ran.
     pub(super) fn drop_postponed(&mut self, req: u32) {
-        let of_req = |dial: &PostponedDial| matches!(dial.job, Job::Req { req: its, .. } if its == req);
-        if let Some(place) = self.postponed.iter().position(of_req) {
+        if let Some(place) = self.postponed.iter().position(|dial| dial.job.is_attempt_of(req)) {
             let dial = self.postponed.remove(place);
             self.report(dial.job, Outcome::Moot, None);
         }
@@ -95,8 +94,8 @@
 
     /// Whether the attempt of a request that is out, if one is, has not been written whole and so never ran.
     pub(super) fn is_unwritten(&self, req: u32) -> bool {
-        let of_req = |dial: &PostponedDial| matches!(dial.job, Job::Req { req: its, .. } if its == req);
-        self.postponed.iter().any(of_req) || self.fetches.iter().any(|(_, fetch)| fetch.is_unwritten_of(req))
+        self.postponed.iter().any(|dial| dial.job.is_attempt_of(req))
+            || self.fetches.iter().any(|(_, fetch)| fetch.is_unwritten_of(req))
     }
 
     /// Begins the request of a connection that is up, if the rules still allow it by a fresh reading of the
