--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -368,6 +368,20 @@
         self.signal(Signal::HUP);
     }
 
+    /// Puts a file in place of the configuration whose reading gives EIO, and tells the node.
+    pub fn reload_unreadable(&self) {
+        std::fs::remove_file(config_path()).unwrap();
+        // The memory of the reading process at its address 0, which is never mapped.
+        std::os::unix::fs::symlink("/proc/self/mem", config_path()).unwrap();
+        self.signal(Signal::HUP);
+    }
+
+    /// Puts a sound configuration in place of whatever is there, and tells the node.
+    pub fn reload_sound(&self) {
+        std::fs::remove_file(config_path()).unwrap();
+        self.reload(str::to_string);
+    }
+
     fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.node), signal).unwrap();
     }
--- a/node/tests/terms/faults.rs
+++ b/node/tests/terms/faults.rs
@@ -166,3 +166,15 @@
         assert_eq!(ask(&world, 60), 60, "{plan}");
     }
 }
+
+#[test]
+fn a_configuration_that_gives_an_io_error_changes_nothing_and_is_read_again() {
+    let (mut world, backend) = world_of(|config| World::with(config));
+    world.reload_unreadable();
+    let log = world.expect_log("reload-failed");
+    assert!(log.contains("os error 5"), "{log}");
+    assert_eq!(ask(&world, 10), 10);
+    assert_eq!(backend.served(), 10);
+    world.reload_sound();
+    world.expect_log("reload discovery=");
+}
