--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -34,6 +34,9 @@
         /// Writes the whole report there, as JSON.
         #[arg(long)]
         json: Option<PathBuf>,
+        /// Writes the logs of all nodes there, with a trace of each event and decision.
+        #[arg(long)]
+        logs: Option<PathBuf>,
     },
     /// Plays a scenario with two programs in turn, and prints min, median and max of each figure.
     Compare {
@@ -94,10 +97,14 @@
     Ok(scenario)
 }
 
-fn play(scenario: &Scenario, program: &Path) -> Result<Report, String> {
+fn play(scenario: &Scenario, programs: &Programs) -> Result<Report, String> {
     let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
-    let report = runtime.block_on(world::run(scenario, &Programs::beside(program)));
-    report.map_err(|error| format!("{}: {error}", program.display()))
+    let report = runtime.block_on(world::run(scenario, programs));
+    report.map_err(|error| format!("{}: {error}", programs.node.display()))
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
 }
 
 /// Stories that are printed of a seed that fails.
@@ -134,7 +141,7 @@
     for backends in scale::SIZES {
         let mut found: BTreeMap<String, Vec<f64>> = BTreeMap::new();
         for round in 0..rounds.max(1) {
-            let report = play(&scale::scenario(backends, round + 1), program)?;
+            let report = play(&scale::scenario(backends, round + 1), &Programs::beside(program))?;
             if let Some(story) = report.broken.first().or(report.panics.first()) {
                 return Err(format!("{backends} backends: {story}"));
             }
@@ -173,14 +180,18 @@
 
 fn run(command: Command) -> Result<bool, String> {
     match command {
-        Command::Run { file, program, nodes, seed, json } => {
+        Command::Run { file, program, nodes, seed, json, logs } => {
             let mut scenario = read(&file, nodes)?;
             scenario.seed = seed.unwrap_or(scenario.seed);
-            let report = play(&scenario, &program)?;
+            let programs = Programs { trace: logs.is_some(), ..Programs::beside(&program) };
+            let report = play(&scenario, &programs)?;
             print(&report);
             if let Some(path) = json {
                 let text = serde_json::to_string_pretty(&report).map_err(|error| error.to_string())?;
-                std::fs::write(&path, text).map_err(|error| format!("{}: {error}", path.display()))?;
+                write_file(&path, &text)?;
+            }
+            if let Some(path) = logs {
+                write_file(&path, &report.logs.join("\n"))?;
             }
             for story in report.broken.iter().take(10).chain(&report.unmet).chain(&report.panics) {
                 println!("FAILED {story}");
@@ -198,7 +209,7 @@
                 for turn in 0..program.len() {
                     // In turn first and second, so that neither always has the warmer machine.
                     let place = (turn + round as usize) % program.len();
-                    for (name, value) in play(&scenario, &program[place])?.figures {
+                    for (name, value) in play(&scenario, &Programs::beside(&program[place]))?.figures {
                         found[place].entry(name).or_default().push(value);
                     }
                 }
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -48,6 +48,9 @@
     pub unmet: Vec<String>,
     /// Lines of logs that tell of a panic.
     pub panics: Vec<String>,
+    /// All that the nodes wrote to their logs, in the order of the nodes.
+    #[serde(skip)]
+    pub logs: Vec<String>,
 }
 
 /// What happened in a second.
@@ -104,12 +107,15 @@
     pub node: PathBuf,
     /// The fault shim, for scenarios that have faults.
     pub shim: PathBuf,
+    /// The nodes trace each event and decision.
+    pub trace: bool,
 }
 
 impl Programs {
     /// A program, and the shim where cargo puts it beside that.
     pub fn beside(node: &Path) -> Programs {
-        Programs { node: node.to_path_buf(), shim: node.with_file_name("libkitefork_fault_shim.so") }
+        let shim = node.with_file_name("libkitefork_fault_shim.so");
+        Programs { node: node.to_path_buf(), shim, trace: false }
     }
 
     fn setup(&self, scenario: &Scenario) -> Setup {
@@ -120,7 +126,7 @@
             set("KITEFORK_FAULTS", scenario.fleet.faults.clone());
             set("KITEFORK_FAULT_SEED", scenario.seed.to_string());
         }
-        if scenario.fleet.log_unread {
+        if scenario.fleet.log_unread || self.trace {
             set("BALANCER_TRACE", "1".into());
         }
         Setup { variables, log_unread: scenario.fleet.log_unread }
@@ -464,7 +470,7 @@
         // What the node itself found broken.
         let violations: Vec<String> =
             lines.iter().filter(|line| line.contains("kitefork: violation ")).cloned().collect();
-        let panics: Vec<String> = lines.into_iter().filter(|line| line.contains("panicked")).collect();
+        let panics: Vec<String> = lines.iter().filter(|line| line.contains("panicked")).cloned().collect();
         let mut figures = self.figures(&ledgers, &broken, begin);
         figures.insert("panics".into(), panics.len() as f64);
         let unmet = scenario.unmet(&figures);
@@ -472,7 +478,7 @@
         let mut broken: Vec<String> =
             broken.into_iter().map(|b| format!("{}: {}", b.rule, b.story)).collect();
         broken.extend(violations);
-        Report { figures, seconds, broken, unmet, panics }
+        Report { figures, seconds, broken, unmet, panics, logs: lines }
     }
 
     fn in_time(&self, asked: &kitefork_standin::clients::Asked) -> bool {
--- a/crates/rig/tests/soak.rs
+++ b/crates/rig/tests/soak.rs
@@ -14,7 +14,7 @@
     let node: PathBuf = built.join("kitefork");
     let shim = test.with_file_name("libkitefork_fault_shim.so");
     assert!(node.exists() && shim.exists(), "run the tests of the whole workspace");
-    Programs { node, shim }
+    Programs { node, shim, trace: false }
 }
 
 async fn play(seed: u64) {
