A failing test: a link that refuses loses its port while processes are started

Seen: nodes_that_start_in_an_outage is flaky (5 of 32 plays with 40 nodes, 16 side by side). The log of a node without a list: "call-failed why=the watch ended", at each of its calls: a whole answer, which the rig's list service never gives on a watch. Other nodes were told lists that their own rig's service had not written. Cause: `Link` closes its listener to refuse, and then binds the port again so that nobody else gets it. Nodes are being started just then, and a process between fork and exec holds a copy of the listening socket; so the bind fails, is ignored, and the port goes to the next one that asks. The inline tests of link.rs move to link_tests.rs unchanged.

--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -202,45 +202,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-    async fn echo() -> (Arc<Link>, SocketAddr) {
-        let link = Arc::new(Link::default());
-        let serve = |mut linked: Linked| {
-            tokio::spawn(async move {
-                let mut byte = [0];
-                while linked.read_exact(&mut byte).await.is_ok() && linked.write_all(&byte).await.is_ok() {}
-            });
-        };
-        let (address, _) = link.clone().listen(serve).await.unwrap();
-        (link, address)
-    }
-
-    #[tokio::test]
-    async fn a_cut_says_nothing_and_heals_and_a_reset_and_a_refusal_are_told() {
-        let (link, address) = echo().await;
-        let mut stream = TcpStream::connect(address).await.unwrap();
-        let mut byte = [0];
-        stream.write_all(b"a").await.unwrap();
-        stream.read_exact(&mut byte).await.unwrap();
-        for cut in [Health::Cut, Health::CutOut] {
-            link.set(cut);
-            stream.write_all(b"b").await.unwrap();
-            let silent =
-                tokio::time::timeout(std::time::Duration::from_millis(50), stream.read_exact(&mut byte));
-            assert!(silent.await.is_err(), "{cut:?}");
-            link.set(Health::Sound);
-            stream.read_exact(&mut byte).await.unwrap();
-            assert_eq!(byte, *b"b");
-        }
-        link.reset();
-        let told = stream.read_exact(&mut byte).await.unwrap_err().kind();
-        assert_eq!(told, io::ErrorKind::ConnectionReset);
-        link.set(Health::Refused);
-        while TcpStream::connect(address).await.is_ok() {}
-        link.set(Health::Sound);
-        while TcpStream::connect(address).await.is_err() {}
-    }
-}
+#[path = "link_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/standin/src/link_tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+use std::sync::atomic::AtomicBool;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+async fn echo() -> (Arc<Link>, SocketAddr) {
+    let link = Arc::new(Link::default());
+    let serve = |mut linked: Linked| {
+        tokio::spawn(async move {
+            let mut byte = [0];
+            while linked.read_exact(&mut byte).await.is_ok() && linked.write_all(&byte).await.is_ok() {}
+        });
+    };
+    let (address, _) = link.clone().listen(serve).await.unwrap();
+    (link, address)
+}
+
+#[tokio::test]
+async fn a_cut_says_nothing_and_heals_and_a_reset_and_a_refusal_are_told() {
+    let (link, address) = echo().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let mut byte = [0];
+    stream.write_all(b"a").await.unwrap();
+    stream.read_exact(&mut byte).await.unwrap();
+    for cut in [Health::Cut, Health::CutOut] {
+        link.set(cut);
+        stream.write_all(b"b").await.unwrap();
+        let silent = tokio::time::timeout(std::time::Duration::from_millis(50), stream.read_exact(&mut byte));
+        assert!(silent.await.is_err(), "{cut:?}");
+        link.set(Health::Sound);
+        stream.read_exact(&mut byte).await.unwrap();
+        assert_eq!(byte, *b"b");
+    }
+    link.reset();
+    let told = stream.read_exact(&mut byte).await.unwrap_err().kind();
+    assert_eq!(told, io::ErrorKind::ConnectionReset);
+    link.set(Health::Refused);
+    while TcpStream::connect(address).await.is_ok() {}
+    link.set(Health::Sound);
+    while TcpStream::connect(address).await.is_err() {}
+}
+
+/// Threads that start processes while the test goes on. A process that is being started holds all descriptors
+/// of its parent until it has become its program.
+fn start_processes(stop: &Arc<AtomicBool>) -> Vec<std::thread::JoinHandle<()>> {
+    let start = |stop: Arc<AtomicBool>| {
+        std::thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                let mut child = std::process::Command::new("true").spawn().unwrap();
+                child.wait().unwrap();
+            }
+        })
+    };
+    (0..3).map(|_| start(stop.clone())).collect()
+}
+
+#[tokio::test]
+async fn a_link_that_refuses_keeps_its_port_while_processes_are_started() {
+    let stop = Arc::new(AtomicBool::new(false));
+    let starters = start_processes(&stop);
+    let mut links = Vec::new();
+    for _ in 0..100 {
+        let (link, address) = echo().await;
+        link.set(Health::Refused);
+        while TcpStream::connect(address).await.is_ok() {}
+        links.push((link, address));
+    }
+    stop.store(true, Ordering::SeqCst);
+    starters.into_iter().for_each(|starter| starter.join().unwrap());
+    for (link, address) in links {
+        // Without SO_REUSEADDR a port is given only if no other socket has it.
+        let taken = TcpSocket::new_v4().unwrap().bind(address);
+        assert_eq!(taken.unwrap_err().kind(), io::ErrorKind::AddrInUse, "{address}");
+        link.set(Health::Sound);
+        while TcpStream::connect(address).await.is_err() {}
+    }
+}
