A link keeps its port while it refuses: a socket that never listens holds it

`listen` in crates/standin/src/link.rs dropped its listener, bound the port anew with `reserve`, and took a failed bind for good; a process between fork and exec held the old listener, and the port went to another link of this or another rig. The node is not at fault: it called what it was told to call. Change: `Port` holds the port from the start by a socket that is bound and never listens; listeners are opened and closed beside it (SO_REUSEADDR, one listener at most). A listener that can't be opened yet is tried again every 5 ms, as before. Siblings: no other stand-in closes a listener and binds it again (backends refuse by the same link).

--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -15,6 +16,11 @@
 
 use crate::locked;
 
+/// Connections that wait to be accepted.
+const QUEUE: u32 = 1024;
+/// A port on which nobody can listen yet is tried again after this.
+const LISTEN_RETRY: Duration = Duration::from_millis(5);
+
 /// How a link is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub enum Health {
@@ -88,27 +94,24 @@
     ) -> io::Result<(SocketAddr, tokio::task::JoinHandle<()>)> {
         // An address of its own: ports of 127.0.0.1 are given to connections, also while a link refuses, and
         // one that connects to its own port would even reach itself.
-        let mut listener = Some(TcpListener::bind("127.1.0.1:0").await?);
-        let address = listener.as_ref().expect("bound").local_addr()?;
+        let port = Port::reserve("127.1.0.1:0".parse().expect("an address"))?;
+        let address = port.address;
+        let mut listener = Some(port.listen()?);
         let task = tokio::spawn(async move {
             loop {
                 if self.health() == Health::Refused {
+                    // Who connects now is refused, as nobody listens; the port stays reserved.
                     listener = None;
-                    // Bound and not listening: the port stays its own, and who connects is refused.
-                    let kept = reserve(address);
                     self.changed.notified().await;
-                    if self.health() != Health::Refused {
-                        listener = kept.and_then(|socket| socket.listen(1024).ok());
-                    }
                     continue;
                 }
                 let bound = match listener.take() {
                     Some(bound) => bound,
-                    // Its port may still be held by a connection that is closing.
-                    None => match reserve(address).and_then(|socket| socket.listen(1024).ok()) {
-                        Some(bound) => bound,
-                        None => {
-                            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+                    // A process that is being started may still hold the listener from before.
+                    None => match port.listen() {
+                        Ok(bound) => bound,
+                        Err(_) => {
+                            tokio::time::sleep(LISTEN_RETRY).await;
                             continue;
                         }
                     },
@@ -130,11 +133,33 @@
     }
 }
 
-fn reserve(address: SocketAddr) -> Option<TcpSocket> {
-    let socket = TcpSocket::new_v4().ok()?;
-    socket.set_reuseaddr(true).ok()?;
-    socket.bind(address).ok()?;
-    Some(socket)
+/// A port that belongs to one link for good. A socket that is bound and never listens holds it: closing the
+/// listener and binding anew would lose it to others whenever a process is being started, which holds a copy of
+/// the listener until it has become its program.
+struct Port {
+    address: SocketAddr,
+    _holder: TcpSocket,
+}
+
+impl Port {
+    /// Reserves a port; port 0 of the address means any that is free.
+    fn reserve(address: SocketAddr) -> io::Result<Port> {
+        let holder = bind(address)?;
+        Ok(Port { address: holder.local_addr()?, _holder: holder })
+    }
+
+    /// A listener on the port. Fails while another one is open.
+    fn listen(&self) -> io::Result<TcpListener> {
+        bind(self.address)?.listen(QUEUE)
+    }
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    // Sockets that have this set may share a port as long as one of them listens at most.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
 }
 
 /// A connection over a link.
