Failing tests: a process held up behind its wait, or within a turn, sends what it must not

So that turn's events were from before the stop: the wait had returned them, and the process stood still before it read its clock. `run` looks again only where it has no event. Ruled out: a leave that the kernel had not told (it is in the next look, 1 ms later); a busy machine (the stop is 3 s long). Class: acting on a look that is older than the act. An attempt may begin long after its client left, and a backend be sent to long after its drain was told. Two tests force it with the shim, which can now let a call return late (`late:MS`): behind the wait (a second attempt 0.38 s after the client's close) and within a turn, in a read (a request to a backend 0.3 s after its drain was told, grace 0.1 s).

--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -96,7 +96,8 @@
         #[unsafe(no_mangle)]
         pub unsafe extern "C" fn $function($($argument: $type),*) -> $result {
             static NEXT: AtomicUsize = AtomicUsize::new(0);
-            match strike($call) {
+            let struck = strike($call);
+            match struck {
                 Some(Fault::Errno(errno)) => {
                     fail(errno);
                     return -1;
@@ -110,14 +111,20 @@
                     };
                 }
                 Some(Fault::Sleep(ms)) => sleep(ms),
-                Some(Fault::Step(_)) | None => {}
+                Some(Fault::Late(_) | Fault::Step(_)) | None => {}
             }
             // SAFETY: the symbol is the C library's function of this name and has its type; the arguments are
             // the caller's, which holds to that function's contract.
-            unsafe {
+            let result = unsafe {
                 std::mem::transmute::<usize, unsafe extern "C" fn($($type),*) -> $result>(
                     next(&NEXT, $name))($($argument),*)
+            };
+            if let Some(Fault::Late(ms)) = struck
+                && result > 0
+            {
+                sleep(ms);
             }
+            result
         }
     };
 }
--- a/crates/fault-shim/src/plan.rs
+++ b/crates/fault-shim/src/plan.rs
@@ -5,7 +5,7 @@
 //! | part | values |
 //! | --- | --- |
 //! | `CALL` | `accept`, `socket`, `connect`, `send`, `recv`, `epoll_ctl`, `epoll_wait`, `poll`, `clock` |
-//! | `FAULT` | an errno by name, `short` (one byte), `sleep:MS`, or, for `clock`, `step:SECONDS` |
+//! | `FAULT` | an errno by name, `short` (one byte), `sleep:MS`, `late:MS`, or, for `clock`, `step:SECONDS` |
 //! | `every:N` | the rule strikes each N-th call (default 1) |
 //! | `chance:P` | instead, the rule strikes with probability P, drawn from the plan's seed |
 //! | `from:MS`, `to:MS` | the rule is in force in this span since the start of the process |
@@ -46,6 +46,8 @@
     Short,
     /// It begins this many milliseconds later.
     Sleep(u64),
+    /// Where it has something to tell (its result is over 0), it returns this many milliseconds later.
+    Late(u64),
     /// The clock is off by this many seconds.
     Step(i64),
 }
@@ -175,6 +177,9 @@
     if let Some(ms) = text.strip_prefix("sleep:") {
         return ms.parse().ok().map(Fault::Sleep);
     }
+    if let Some(ms) = text.strip_prefix("late:") {
+        return ms.parse().ok().map(Fault::Late);
+    }
     if let Some(seconds) = text.strip_prefix("step:") {
         return seconds.parse().ok().map(Fault::Step);
     }
--- a/crates/fault-shim/tests/plan.rs
+++ b/crates/fault-shim/tests/plan.rs
@@ -18,6 +18,13 @@
     assert_eq!(struck, [None, Some(Fault::Step(-3600)), Some(Fault::Step(-3600)), None]);
 }
 
+#[test]
+fn a_call_may_begin_or_return_late() {
+    let mut plan = Plan::parse("send=sleep:20;epoll_wait=late:300", 1).unwrap();
+    assert_eq!(plan.strike(Call::Send, 0), Some(Fault::Sleep(20)));
+    assert_eq!(plan.strike(Call::EpollWait, 0), Some(Fault::Late(300)));
+}
+
 #[test]
 fn a_chance_follows_from_the_seed() {
     let struck = |seed| {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -75,6 +75,14 @@
         ended
     }
 
+    /// Bytes have come that nobody has read.
+    pub fn has_bytes(&self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let found = matches!(self.stream.peek(&mut [0]), Ok(1));
+        self.stream.set_nonblocking(false).unwrap();
+        found
+    }
+
     /// Asks again and again until the answer is this one.
     pub fn ask_until(&mut self, request: &str, wanted: &str) {
         let since = std::time::Instant::now();
--- a/node/tests/crossings/mod.rs
+++ b/node/tests/crossings/mod.rs
@@ -3,6 +3,7 @@
 //! is docs/design/crossings.md.
 
 mod end;
+mod held_up;
 
 use std::time::{Duration, Instant};
 
