A failing test: a node that starts with a wrong clock takes a cold backend for an old one

Cause: before its first list a node has heard nothing that bounds the ages on it, and `started_at` in start_time.rs then believes the wall clock. With the clock an hour ahead a backend that started 0.5 s ago counts as started an hour ago, and gets a full share at once.

--- a/node/tests/terms/clock.rs
+++ b/node/tests/terms/clock.rs
@@ -22,6 +22,14 @@
     (world, watch)
 }
 
+/// A node whose wall clock follows a plan, and that starts with a list on which `s-2` has just started.
+fn started_with(plan: &str, boot_ms: i64) -> World {
+    World::with_faults_and(plan, &[("BALANCER_TRACE", "1")], |config| {
+        let fresh = config.replace(r#""uid":"s-1""#, r#""uid":"s-2""#);
+        fresh.replace(r#""boot_ms":0"#, &format!(r#""boot_ms":{boot_ms}"#))
+    })
+}
+
 /// The age in milliseconds that the node takes a backend to have when its list says this.
 fn age_ms(world: &mut World, uid: &str) -> i64 {
     let lines = world.expect_log(&format!("uid={uid} "));
@@ -67,6 +75,20 @@
     }
 }
 
+#[test]
+fn a_start_on_the_first_list_is_recent_whatever_the_clock_says() {
+    for (plan, at_least_so_old) in
+        [("", 500), ("clock=step:3600", 500), ("clock=step:-3600", 500), ("", HOUR_MS)]
+    {
+        let mut world = started_with(plan, unix_ms() - at_least_so_old);
+        let age = age_ms(&mut world, "s-2");
+        assert!((0..=100).contains(&age), "{plan} {at_least_so_old}: {age} ms");
+    }
+    // A clock that is an hour off can't explain this.
+    let mut world = started_with("clock=step:3600", unix_ms() - 3 * HOUR_MS);
+    assert_eq!(age_ms(&mut world, "s-2"), -1);
+}
+
 #[test]
 fn a_sound_clock_is_believed() {
     let (mut world, mut watch) = followed("");
