Starts on a node's first list count as heard now, unless a clock that is off can't explain them

Change: `started_at` believes no age on the first list but one of over two hours, which is the terms' hour and as much to spare; later lists are bounded as before by when the list was last confirmed.

--- a/node/src/start_time.rs
+++ b/node/src/start_time.rs
@@ -6,8 +6,10 @@
 //! the later one counts: a backend that is taken for younger than it is gets less for some seconds; one
 //! that is taken for older may be pushed over.
 //!
-//! What can't be known: a node that starts with a wrong clock has heard nothing before its first list. It
-//! believes its clock then, but for starts that lie ahead.
+//! What can't be known is how old the backends of the first list are: a node that starts with a wrong clock
+//! has heard nothing before it. All starts on that list count as heard now, but for those that a clock which
+//! is off by an hour can't explain. What this costs a restarted node is a smaller share, for some seconds,
+//! for backends that started lately.
 
 use kitefork::Nanos;
 
@@ -17,6 +19,10 @@
 /// what a list tells as new had not been so for much longer.
 const MOST_LIST_LAG: Nanos = 6 * SECOND;
 
+/// The wall clock may be off by an hour (the operators' terms), and as much again to spare: what seems to be
+/// older than this is old.
+const MOST_CLOCK_ERROR: Nanos = 2 * 3_600 * SECOND;
+
 /// What the node knows when it hears of a start.
 #[derive(Debug, Clone, Copy)]
 pub struct Heard {
@@ -36,16 +42,16 @@
         return None;
     }
     let age_by_wall = heard.wall_now_ms.saturating_sub(boot_ms).saturating_mul(MS);
+    let Some(confirmed) = heard.confirmed else {
+        return (age_by_wall <= MOST_CLOCK_ERROR).then_some(heard.now);
+    };
     let by_wall = heard.now.checked_sub(age_by_wall);
     let by_start = boot_ms.saturating_mul(MS).checked_sub(heard.wall_at_zero);
     // A start that lies ahead is not later than the moment it was heard.
     let started = by_wall.max(by_start).map(|at| at.min(heard.now)).filter(|at| *at > 0);
-    let earliest = heard.confirmed.map(|at| at.saturating_sub(MOST_LIST_LAG));
-    match earliest {
-        // The clocks contradict what the node has heard: nothing is known but that it is new.
-        Some(earliest) if started.is_none_or(|at| at < earliest) => Some(heard.now),
-        _ => started,
-    }
+    let earliest = confirmed.saturating_sub(MOST_LIST_LAG);
+    // Where the clocks contradict what the node has heard, nothing is known but that it is new.
+    if started.is_none_or(|at| at < earliest) { Some(heard.now) } else { started }
 }
 
 #[cfg(test)]
