A failing test: a clock that is seconds ahead from a node's start on makes cold backends older

Cause: a start is dated by the wall clock within what the last confirmation of the list allows, which is 6 s and the time since then. A node whose clock has been 5 s ahead since its start takes a backend that started 0.2 s ago for 5.2 s old, of 8.8 s in slow start, and its share of the budget is then too large by as much. Sibling of the clock that is an hour ahead; steps while the node runs are bounded by two clocks of which one is right.

--- a/node/tests/terms/clock.rs
+++ b/node/tests/terms/clock.rs
@@ -75,6 +75,21 @@
     }
 }
 
+#[test]
+fn a_clock_that_is_seconds_ahead_from_the_start_on_makes_no_backend_older() {
+    for step in [2, 5] {
+        let (mut world, mut watch) = followed(&format!("clock=step:{step}"));
+        for (rev, uid, told_after) in [(9, "s-2", 200), (10, "s-3", 1_500)] {
+            watch.send(&more_changes(rev, &[started(&world, uid, unix_ms() - told_after)]));
+            let age = age_ms(&mut world, uid);
+            assert!(
+                (0..=told_after + 100).contains(&age),
+                "{step} s ahead, told after {told_after}: {age} ms"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_start_on_the_first_list_is_recent_whatever_the_clock_says() {
     for (plan, at_least_so_old) in
