Starts are also bounded by starts that were heard: a clock that is ahead makes none older

Change: `StartTimes` keeps the least wall-clock time that the monotonic clock's zero can have: no start that was told lay behind the moment it was heard. Of the three readings of a start the latest counts. The first start that is told in a node's life so counts as heard now, later ones within the least lag seen. Replaced: two tests that hold that a sound clock is believed tell one start at once before, which shows that it is sound.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -13,7 +13,7 @@
 use crate::http1::{self, Parser, Start};
 use crate::net::Registration;
 use crate::ring::{Read, Ring};
-use crate::start_time::{self, Heard};
+use crate::start_time::{Heard, StartTimes};
 use crate::wheel::Deadline;
 
 /// A watch says something every 2 s, a call is answered or turned down within 3 s: a connection silent for
@@ -122,6 +122,7 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     members: HashMap<BackendId, Member>,
+    start_times: StartTimes,
 }
 
 struct Member {
@@ -137,7 +138,8 @@
 
 impl Fleet {
     pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Fleet {
-        Fleet { ids: HashMap::new(), next: 0, zones, kinds, members: HashMap::new() }
+        let start_times = StartTimes::default();
+        Fleet { ids: HashMap::new(), next: 0, zones, kinds, members: HashMap::new(), start_times }
     }
 
     /// Where a backend listens, if it may be sent to.
@@ -156,6 +158,10 @@
     pub fn apply(&mut self, heard: &Heard, update: &Update, age: Age) -> (Event, Vec<BackendId>) {
         let now = heard.now;
         let mut ends = Vec::new();
+        // All of them before any is dated: the youngest one tells most of the clocks.
+        for entry in &update.entries {
+            self.start_times.note(entry.boot_ms, now);
+        }
         let mut backends: Vec<Backend> =
             update.entries.iter().map(|entry| self.backend(heard, entry, age)).collect();
         for (entry, backend) in update.entries.iter().zip(&mut backends).filter(|_| age == Age::Older) {
@@ -220,7 +226,7 @@
         let known = self.members.get(&id).filter(|member| !is_new_start(member, entry, age));
         let started = match known {
             Some(member) => member.started,
-            None => start_time::started_at(entry.boot_ms, heard),
+            None => self.start_times.started_at(entry.boot_ms, heard),
         };
         let mut hasher = fnv::FnvHasher::default();
         hasher.write(entry.uid.as_bytes());
--- a/node/src/start_time.rs
+++ b/node/src/start_time.rs
@@ -2,9 +2,10 @@
 //!
 //! Lists give a start as wall-clock time, and any wall clock may be stepped. So what the list says is bounded
 //! by what the node itself has heard, and when: a start is not later than the moment it was heard, and where
-//! the node knew an earlier state of the backend, not much earlier than that. Of two readings that remain,
-//! the later one counts: a backend that is taken for younger than it is gets less for some seconds; one
-//! that is taken for older may be pushed over.
+//! the node knew an earlier state of the backend, not much earlier than that. No start that was ever told lay
+//! behind the moment at which it was heard, so each bounds how far the wall clock can be ahead. Of the
+//! readings that remain, the latest one counts: a backend that is taken for younger than it is gets less for
+//! some seconds; one that is taken for older may be pushed over.
 //!
 //! What can't be known is how old the backends of the first list are: a node that starts with a wrong clock
 //! has heard nothing before it. All starts on that list count as heard now, but for those that a clock which
@@ -36,22 +37,39 @@
     pub confirmed: Option<Nanos>,
 }
 
-/// When a backend started whose list entry has this `boot_ms`; `None`: long ago.
-pub fn started_at(boot_ms: u64, heard: &Heard) -> Option<Nanos> {
-    if boot_ms == 0 {
-        return None;
+/// Dates starts, by what earlier ones have shown of the clocks.
+#[derive(Debug, Default)]
+pub struct StartTimes {
+    /// The wall-clock time at the monotonic clock's zero is not before this, in nanoseconds.
+    least_wall_at_zero: Nanos,
+}
+
+impl StartTimes {
+    /// Takes note of a start that is heard of now.
+    pub fn note(&mut self, boot_ms: u64, now: Nanos) {
+        self.least_wall_at_zero = self.least_wall_at_zero.max(boot_ms.saturating_mul(MS).saturating_sub(now));
+    }
+
+    /// When a backend started whose list entry has this `boot_ms`, on the monotonic clock; `None`: long ago.
+    pub fn started_at(&self, boot_ms: u64, heard: &Heard) -> Option<Nanos> {
+        if boot_ms == 0 {
+            return None;
+        }
+        let age_by_wall = heard.wall_now_ms.saturating_sub(boot_ms).saturating_mul(MS);
+        let Some(confirmed) = heard.confirmed else {
+            return (age_by_wall <= MOST_CLOCK_ERROR).then_some(heard.now);
+        };
+        let boot = boot_ms.saturating_mul(MS);
+        let by_wall = heard.now.checked_sub(age_by_wall);
+        let by_clock_at_start = boot.checked_sub(heard.wall_at_zero);
+        let by_starts_heard = boot.checked_sub(self.least_wall_at_zero);
+        let latest = by_wall.max(by_clock_at_start).max(by_starts_heard);
+        // A start that lies ahead is not later than the moment it was heard.
+        let started = latest.map(|at| at.min(heard.now)).filter(|at| *at > 0);
+        let earliest = confirmed.saturating_sub(MOST_LIST_LAG);
+        // Where the clocks contradict what the node has heard, nothing is known but that it is new.
+        if started.is_none_or(|at| at < earliest) { Some(heard.now) } else { started }
     }
-    let age_by_wall = heard.wall_now_ms.saturating_sub(boot_ms).saturating_mul(MS);
-    let Some(confirmed) = heard.confirmed else {
-        return (age_by_wall <= MOST_CLOCK_ERROR).then_some(heard.now);
-    };
-    let by_wall = heard.now.checked_sub(age_by_wall);
-    let by_start = boot_ms.saturating_mul(MS).checked_sub(heard.wall_at_zero);
-    // A start that lies ahead is not later than the moment it was heard.
-    let started = by_wall.max(by_start).map(|at| at.min(heard.now)).filter(|at| *at > 0);
-    let earliest = confirmed.saturating_sub(MOST_LIST_LAG);
-    // Where the clocks contradict what the node has heard, nothing is known but that it is new.
-    if started.is_none_or(|at| at < earliest) { Some(heard.now) } else { started }
 }
 
 #[cfg(test)]
--- a/node/src/start_time_tests.rs
+++ b/node/src/start_time_tests.rs
@@ -11,6 +11,34 @@
     Heard { now: NOW, wall_now_ms: NOW_MS, wall_at_zero: ZERO_MS * MS, confirmed: Some(NOW - SECOND) }
 }
 
+/// Dates a start behind one that was heard at once, while all clocks were sound.
+fn started_at(boot_ms: u64, heard: &Heard) -> Option<Nanos> {
+    let mut starts = StartTimes::default();
+    starts.note(NOW_MS, NOW);
+    starts.started_at(boot_ms, heard)
+}
+
+#[test]
+fn a_clock_that_is_ahead_is_bounded_by_starts_that_were_heard() {
+    for ahead_ms in [0, 5_000, 3_600_000] {
+        let heard =
+            Heard { wall_now_ms: NOW_MS + ahead_ms, wall_at_zero: (ZERO_MS + ahead_ms) * MS, ..heard() };
+        let mut starts = StartTimes::default();
+        // Heard 0.1 s after it was; the next ones can't be taken for much older than they are.
+        starts.note(NOW_MS - 100, NOW);
+        assert_eq!(starts.started_at(NOW_MS - 100, &heard), Some(NOW), "{ahead_ms}");
+        assert_eq!(starts.started_at(NOW_MS - 3_100, &heard), Some(NOW - 3 * SECOND), "{ahead_ms}");
+    }
+}
+
+#[test]
+fn a_start_that_no_clock_explains_makes_no_other_one_old() {
+    let mut starts = StartTimes::default();
+    starts.note(u64::MAX, NOW);
+    starts.note(NOW_MS + 3_600_000, NOW);
+    assert_eq!(starts.started_at(NOW_MS - 3_000, &heard()), Some(NOW - 3 * SECOND));
+}
+
 #[test]
 fn a_sound_clock_is_believed() {
     assert_eq!(started_at(0, &heard()), None);
