A look for unread bytes tells when it can't know, and no session closes on that

Change: one function, `net::unread`, looks what lies in a connection, by the table of errno; client sessions and idle connections to backends both use it in place of the same call written twice.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -6,12 +6,11 @@
 use kitefork_settings::Deployment;
 use rustix::event::epoll::{EventData, EventFlags};
 use rustix::io::Errno;
-use rustix::net::RecvFlags;
 
 use crate::arrival::Arrival;
 use crate::clock::{MS, SECOND};
 use crate::http1::{self, Bad, Head, MOST_ANSWER, MOST_HEAD, Parser, Start};
-use crate::net::{self, Registration};
+use crate::net::{self, Registration, Unread};
 use crate::req::{Ask, Synthetic};
 use crate::ring::{Body, Budget, Read, Ring, Write};
 use crate::rules::CloseFacts;
@@ -272,14 +271,12 @@
     /// What decides whether it may be closed for a reason of the node's own.
     pub fn close_facts(&self) -> CloseFacts {
         let answer_owed = self.req.is_some() || !self.outbox.is_empty();
-        CloseFacts { answer_owed, unread: self.has_unread() || self.has_next() }
+        CloseFacts { answer_owed, unread: self.may_have_unread() || self.has_next() }
     }
 
-    /// Bytes have come, maybe of a request, that nobody has read.
-    pub fn has_unread(&self) -> bool {
-        let mut byte = [0];
-        self.phase == Phase::Open
-            && matches!(rustix::net::recv(&self.socket, &mut byte, RecvFlags::PEEK), Ok((1.., _)))
+    /// Bytes may have come, maybe of a request, that nobody has read.
+    pub fn may_have_unread(&self) -> bool {
+        self.phase == Phase::Open && matches!(net::unread(&self.socket), Unread::Bytes | Unread::Unknown)
     }
 
     /// The last turn before its socket closes. With bytes unread that is a reset, which throws away what the
@@ -574,7 +571,7 @@
         far.write_all(GOOD.as_bytes()).unwrap();
         session.part();
         assert_eq!(far.read(&mut [0; 256]).unwrap(), 0);
-        assert!(!session.has_unread());
+        assert!(!session.may_have_unread());
     }
 
     #[test]
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -4,12 +4,11 @@
 use std::os::fd::OwnedFd;
 
 use kitefork::{BackendId, Nanos, Outcome};
-use rustix::net::{RecvFlags, sockopt};
+use rustix::net::sockopt;
 
 use crate::clock::{MS, SECOND};
-use crate::errno::{self, ErrorClass};
 use crate::http1::{Head, MOST_BODY, MOST_HEAD, Parser, Start};
-use crate::net::Registration;
+use crate::net::{self, Registration, Unread};
 use crate::ring::{Body, Budget, Read, Ring, Write};
 use crate::wheel::Deadline;
 
@@ -201,16 +200,10 @@
 
     /// Whether an idle connection is still good: neither an end nor stray bytes have come.
     pub fn soundness(&self) -> Reuse {
-        loop {
-            return match rustix::net::recv(&self.socket, &mut [0], RecvFlags::PEEK) {
-                Ok((1.., _)) => Reuse::Doubled,
-                Ok(_) => Reuse::No,
-                Err(error) => match errno::of_transfer(error) {
-                    ErrorClass::RetryNow => continue,
-                    ErrorClass::WouldBlock => Reuse::Yes,
-                    _ => Reuse::No,
-                },
-            };
+        match net::unread(&self.socket) {
+            Unread::Nothing => Reuse::Yes,
+            Unread::Bytes => Reuse::Doubled,
+            Unread::End | Unread::Unknown => Reuse::No,
         }
     }
 }
--- a/node/src/net.rs
+++ b/node/src/net.rs
@@ -8,7 +8,8 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 use rustix::net::{
-    AddressFamily, SocketFlags, SocketType, accept_with, bind, connect, listen, socket_with, sockopt,
+    AddressFamily, RecvFlags, SocketFlags, SocketType, accept_with, bind, connect, listen, socket_with,
+    sockopt,
 };
 
 use crate::errno::{self, ErrorClass};
@@ -63,6 +64,35 @@
     is_now(socket, PollFlags::RDHUP).unwrap_or(false)
 }
 
+/// What lies in a connection that nobody has read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unread {
+    /// Bytes.
+    Bytes,
+    /// Nothing; the other side may still send.
+    Nothing,
+    /// An end or a reset.
+    End,
+    /// The machine could not say.
+    Unknown,
+}
+
+/// Looks what lies in a connection, and leaves it there.
+pub fn unread(socket: &OwnedFd) -> Unread {
+    loop {
+        return match rustix::net::recv(socket, &mut [0], RecvFlags::PEEK) {
+            Ok((1.., _)) => Unread::Bytes,
+            Ok(_) => Unread::End,
+            Err(error) => match errno::of_transfer(error) {
+                ErrorClass::RetryNow => continue,
+                ErrorClass::WouldBlock => Unread::Nothing,
+                ErrorClass::RetryLater => Unread::Unknown,
+                _ => Unread::End,
+            },
+        };
+    }
+}
+
 /// Whether a client waits to be accepted.
 pub fn has_client(listener: &OwnedFd) -> Result<bool, Errno> {
     is_now(listener, PollFlags::IN)
--- a/node/src/node/end.rs
+++ b/node/src/node/end.rs
@@ -3,7 +3,7 @@
 use kitefork::Nanos;
 
 use super::sessions::ACCEPT_PAUSE;
-use super::{Due, Node};
+use super::{Due, MIN_RETRY, Node};
 use crate::client::Session;
 use crate::clock::{MS, SECOND};
 use crate::counters::CloseReason;
@@ -45,14 +45,24 @@
             return self.wheel.hang(self.now + ACCEPT_PAUSE, Due::StopAccepting);
         }
         self.listener = None;
+        if !self.close_idle_sessions() && !ending {
+            // What could not be read for a moment is looked at again.
+            self.wheel.hang(self.now + MIN_RETRY, Due::StopAccepting);
+        }
+    }
+
+    /// Closes the sessions on which nothing is under way; a request that has come while nobody looked is
+    /// served, not cut off. Tells whether all that are idle have closed.
+    fn close_idle_sessions(&mut self) -> bool {
         let numbers: Vec<u32> = self.sessions.iter().map(|(number, _)| number).collect();
+        let mut all_closed = true;
         for number in numbers {
-            // A request that has come while nobody looked is served, not cut off.
             self.read_session(number);
             if self.sessions.get(number).is_some_and(Session::is_idle) {
-                self.close_session(number, ClosePermit::nothing_owed(), CloseReason::Shutdown);
+                all_closed &= self.close_if_allowed(number, CloseReason::Shutdown);
             }
         }
+        all_closed
     }
 
     /// SIGKILL is near: whatever waits gets its answer now, and what has come unread is refused. Sessions
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -144,7 +144,7 @@
 
     /// Closes a session for a reason of the node's own, if the rules allow it; else takes up what forbids it.
     /// Tells whether it has closed.
-    fn close_if_allowed(&mut self, number: u32, reason: CloseReason) -> bool {
+    pub(super) fn close_if_allowed(&mut self, number: u32, reason: CloseReason) -> bool {
         let Some(session) = self.sessions.get(number) else { return false };
         match rules::may_close(session.close_facts()) {
             Ok(permit) => self.close_session(number, permit, reason),
