--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -69,6 +69,9 @@
         /// Processes of the node.
         #[arg(long, default_value_t = 24)]
         nodes: usize,
+        /// Seconds in which nothing happens, before the traffic and the troubles.
+        #[arg(long, default_value_t = 0.0)]
+        quiet: f64,
         /// Leaves a seed that fails as it is.
         #[arg(long)]
         no_shrink: bool,
@@ -110,13 +113,13 @@
 /// Stories that are printed of a seed that fails.
 const MOST_STORIES: usize = 5;
 
-fn run_soak(seeds: Range<u64>, nodes: usize, shrink: bool, program: &Path) -> Result<bool, String> {
+fn run_soak(seeds: Range<u64>, options: soak::Options, program: &Path) -> Result<bool, String> {
     let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     let programs = Programs::beside(program);
     let mut failed = Vec::new();
     let count = seeds.clone().count();
     for seed in seeds {
-        let verdict = runtime.block_on(soak::play(seed, nodes, &programs, shrink));
+        let verdict = runtime.block_on(soak::play(seed, options, &programs));
         let verdict = verdict.map_err(|error| format!("{}: {error}", program.display()))?;
         let report = &verdict.report;
         let word = if report.passed() { "passed" } else { "FAILED" };
@@ -126,8 +129,10 @@
                 println!("  {story}");
             }
             println!(
-                "  {} stories; again: kitefork-rig soak --from {seed} --seeds 1 --nodes {nodes}",
-                report.broken.len()
+                "  {} stories; again: kitefork-rig soak --from {seed} --seeds 1 --nodes {} --quiet {}",
+                report.broken.len(),
+                options.nodes,
+                options.quiet_s
             );
             failed.push(seed);
         }
@@ -231,8 +236,9 @@
             }
             Ok(true)
         }
-        Command::Soak { from, seeds, nodes, no_shrink, program } => {
-            run_soak(from..from + seeds, nodes, !no_shrink, &program)
+        Command::Soak { from, seeds, nodes, quiet, no_shrink, program } => {
+            let options = soak::Options { nodes, quiet_s: quiet, shrink: !no_shrink };
+            run_soak(from..from + seeds, options, &program)
         }
         Command::Scale { program, rounds } => run_scale(&program, rounds),
         Command::List { folder } => {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -261,6 +261,10 @@
     Fail,
     /// Backends work at `size` of their speed, over sound links.
     Work,
+    /// All that backends say comes twice.
+    AnswerTwice,
+    /// What backends say comes a few bytes at a time.
+    AnswerInPieces,
     /// The links to backends say nothing.
     BackendCut,
     /// What backends say does not arrive, what nodes say does.
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -58,13 +58,19 @@
     ClockStep,
     /// Nobody reads the logs.
     LogUnread,
-    /// Nodes are held up before they write.
+    /// Nodes are held up: before they read or write, or behind their wait for events.
     HeldUp,
     /// Few descriptors.
     FewDescriptors,
+    /// Nodes' wall clocks are off for their whole lives.
+    ClockOff,
+    /// Backends say everything twice.
+    AnswerTwice,
+    /// Backends answer a few bytes at a time.
+    AnswerInPieces,
 }
 
-const TROUBLES: [Trouble; 21] = [
+const TROUBLES: [Trouble; 24] = [
     Trouble::Restart,
     Trouble::Kill,
     Trouble::Stop,
@@ -86,6 +92,9 @@
     Trouble::LogUnread,
     Trouble::HeldUp,
     Trouble::FewDescriptors,
+    Trouble::ClockOff,
+    Trouble::AnswerTwice,
+    Trouble::AnswerInPieces,
 ];
 
 impl fmt::Display for Trouble {
@@ -118,6 +127,8 @@
     pub base: Scenario,
     /// The troubles.
     pub troubles: Vec<Drawn>,
+    /// Seconds before the traffic and the troubles in which nothing happens.
+    pub quiet_s: f64,
 }
 
 struct Dice(Xoshiro256PlusPlus);
@@ -180,11 +191,11 @@
     };
     let count = 2 + dice.below(2);
     let troubles = (0..count).map(|_| draw_trouble(&mut dice)).collect();
-    Plan { seed, base, troubles }
+    Plan { seed, base, troubles, quiet_s: 0.0 }
 }
 
 fn draw_class(dice: &mut Dice, number: usize) -> Class {
-    let deadline_ms = dice.of(&[150.0, 400.0, 1_000.0, 3_000.0, 5_000.0]);
+    let deadline_ms = dice.of(&[150.0, 400.0, 1_000.0, 3_000.0, 5_000.0, 30_000.0]);
     Class {
         name: format!("class{number}"),
         effect: dice.of(&["safe", "keyed", "unsafe"]).into(),
@@ -210,8 +221,12 @@
     /// The scenario of the fleet with its troubles.
     pub fn scenario(&self) -> Scenario {
         let mut scenario = self.base.clone();
+        scenario.length_s += self.quiet_s;
+        scenario.traffic.from_s += self.quiet_s;
+        scenario.traffic.to_s = scenario.traffic.to_s.map(|end| end + self.quiet_s);
         for drawn in &self.troubles {
-            drawn.put_into(&mut scenario);
+            let later = Drawn { from_s: drawn.from_s + self.quiet_s, ..drawn.clone() };
+            later.put_into(&mut scenario);
         }
         scenario
     }
@@ -256,7 +271,19 @@
     "epoll_wait=EINTR,chance:0.2;recv=EINTR,chance:0.1;send=EINTR,chance:0.1",
 ];
 
+/// Steps of the wall clock, in seconds.
+const CLOCK_STEPS: [i64; 6] = [-3_600, -3, 3, 3_600, 6, -6];
+
+/// Plans of the shim by which nodes are held up for less than the terms allow.
+const HOLD_UPS: [&str; 3] =
+    ["send=sleep:120,chance:0.01", "recv=sleep:120,chance:0.005", "epoll_wait=late:120,chance:0.02"];
+
 impl Drawn {
+    /// One of several, by this trouble's own draw.
+    fn one_of<T: Copy>(&self, choices: &[T]) -> T {
+        choices[(self.dice * choices.len() as f64) as usize]
+    }
+
     fn put_into(&self, scenario: &mut Scenario) {
         let (from, to) = (self.from_s, self.from_s + self.lasts_s);
         let mut add = |s: f64, what: What| {
@@ -327,15 +354,23 @@
                 add(to + 1.2, What::BackendStart);
             }
             Trouble::SystemCalls => {
-                let place = (self.dice * SHIM_PLANS.len() as f64) as usize;
-                self.add_faults(scenario, SHIM_PLANS[place]);
+                self.add_faults(scenario, self.one_of(&SHIM_PLANS));
             }
             Trouble::ClockStep => {
-                let steps = [-3_600, -3, 3, 3_600];
-                let step = steps[(self.dice * steps.len() as f64) as usize];
-                self.add_faults(scenario, &format!("clock=step:{step}"));
+                self.add_faults(scenario, &format!("clock=step:{}", self.one_of(&CLOCK_STEPS)));
+            }
+            Trouble::ClockOff => {
+                scenario.fleet.faults += &format!("clock=step:{};", self.one_of(&CLOCK_STEPS));
+            }
+            Trouble::HeldUp => self.add_faults(scenario, self.one_of(&HOLD_UPS)),
+            Trouble::AnswerTwice => {
+                add(from, What::AnswerTwice);
+                add(to, What::Work);
+            }
+            Trouble::AnswerInPieces => {
+                add(from, What::AnswerInPieces);
+                add(to, What::Work);
             }
-            Trouble::HeldUp => self.add_faults(scenario, "send=sleep:120,chance:0.01"),
             Trouble::LogUnread => scenario.fleet.log_unread = true,
             Trouble::FewDescriptors => scenario.fleet.sockets = 64 + (self.dice * 64.0) as usize,
         }
@@ -360,15 +395,26 @@
     pub report: Report,
 }
 
+/// How seeds are played.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Processes of the node.
+    pub nodes: usize,
+    /// Seconds before the traffic and the troubles in which nothing happens.
+    pub quiet_s: f64,
+    /// A seed that fails is played again with fewer troubles.
+    pub shrink: bool,
+}
+
 /// Plays a seed; one that fails is played again with one trouble less, as long as it still fails.
 ///
 /// # Errors
 ///
 /// What the machine says where a party or a process can't be started.
-pub async fn play(seed: u64, nodes: usize, programs: &Programs, shrink: bool) -> io::Result<Verdict> {
-    let mut plan = draw(seed, nodes);
+pub async fn play(seed: u64, options: Options, programs: &Programs) -> io::Result<Verdict> {
+    let mut plan = Plan { quiet_s: options.quiet_s, ..draw(seed, options.nodes) };
     let mut report = run(&plan.scenario(), programs).await?;
-    if report.passed() || !shrink {
+    if report.passed() || !options.shrink {
         return Ok(Verdict { plan, report });
     }
     'fewer: loop {
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -409,7 +409,10 @@
             What::Work => {
                 self.backends[number].set(backend::Health::Works(step.size));
                 self.backends[number].link.set(link::Health::Sound);
+                self.backends[number].link.set_manner(link::Manner::Whole);
             }
+            What::AnswerTwice => self.backends[number].link.set_manner(link::Manner::Twice),
+            What::AnswerInPieces => self.backends[number].link.set_manner(link::Manner::InPieces),
             What::BackendCut => self.backends[number].link.set(link::Health::Cut),
             What::BackendCutOut => self.backends[number].link.set(link::Health::CutOut),
             What::BackendReset => self.backends[number].link.reset(),
--- a/crates/rig/tests/soak.rs
+++ b/crates/rig/tests/soak.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use kitefork_rig::scenario::What;
 use kitefork_rig::soak;
 use kitefork_rig::world::Programs;
 
@@ -18,7 +19,8 @@
 }
 
 async fn play(seed: u64) {
-    let verdict = soak::play(seed, NODES, &programs(), false).await.unwrap();
+    let options = soak::Options { nodes: NODES, quiet_s: 0.0, shrink: false };
+    let verdict = soak::play(seed, options, &programs()).await.unwrap();
     let (plan, report) = (&verdict.plan, &verdict.report);
     assert!(report.passed(), "{plan}\n{:#?}\n{:#?}", report.broken.first(), report.panics.first());
     assert!(report.figures["served"] > 0.1, "{plan}: {:#?}", report.figures);
@@ -41,6 +43,19 @@
     seed_4 4,
 }
 
+#[test]
+fn a_quiet_time_moves_all_but_the_start() {
+    let plan = soak::draw(7, NODES);
+    let quiet = soak::Plan { quiet_s: 60.0, ..plan.clone() };
+    let (usual, later) = (plan.scenario(), quiet.scenario());
+    assert_eq!((later.length_s, later.traffic.from_s), (usual.length_s + 60.0, usual.traffic.from_s + 60.0));
+    assert_eq!(later.at.len(), usual.at.len());
+    for (step, moved) in usual.at.iter().zip(&later.at) {
+        let by = if step.what == What::Start && step.s == 0.0 { 0.0 } else { 60.0 };
+        assert!((moved.s - step.s - by).abs() < 1e-9, "{step:?} {moved:?}");
+    }
+}
+
 #[test]
 fn a_seed_draws_the_same_plan_and_other_seeds_other_ones() {
     let text = |seed| soak::draw(seed, NODES).to_string();
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -13,6 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
+use tokio::time::Sleep;
 
 use crate::locked;
 
@@ -36,10 +37,27 @@
     Refused,
 }
 
+/// How what this side says is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum Manner {
+    /// As it is.
+    #[default]
+    Whole,
+    /// All of it twice, the second time right behind the first.
+    Twice,
+    /// A few bytes at a time, with a pause behind each.
+    InPieces,
+}
+
+/// Bytes of a piece, and the pause behind it.
+const PIECE: usize = 7;
+const PIECE_PAUSE: Duration = Duration::from_millis(1);
+
 /// One link; all its connections share its health.
 #[derive(Debug, Default)]
 pub struct Link {
     health: Mutex<Health>,
+    manner: Mutex<Manner>,
     /// For each connection, who waits to read on it and who to write.
     wakers: Mutex<BTreeMap<usize, [Option<Waker>; 2]>>,
     changed: Notify,
@@ -57,6 +75,11 @@
         self.wake();
     }
 
+    /// Changes how what this side says is written, on open connections too.
+    pub fn set_manner(&self, manner: Manner) {
+        *locked(&self.manner) = manner;
+    }
+
     /// Resets all connections that are open.
     pub fn reset(&self) {
         self.resets.fetch_add(1, Ordering::SeqCst);
@@ -122,7 +145,7 @@
                         self.open.fetch_add(1, Ordering::SeqCst);
                         let number = self.accepted.fetch_add(1, Ordering::SeqCst);
                         let born = self.resets.load(Ordering::SeqCst);
-                        serve(Linked { stream, link: self.clone(), number, born });
+                        serve(Linked { stream, link: self.clone(), number, born, pause: None });
                     },
                     () = self.changed.notified() => {}
                 }
@@ -168,6 +191,8 @@
     link: Arc<Link>,
     number: usize,
     born: u64,
+    /// Behind a piece: until when no other one is written.
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl Drop for Linked {
@@ -214,7 +239,26 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         std::task::ready!(self.passes(context, true))?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let manner = *locked(&self.link.manner);
+        match manner {
+            Manner::Whole => Pin::new(&mut self.stream).poll_write(context, bytes),
+            Manner::Twice => {
+                let twice = [bytes, bytes].concat();
+                let written = Pin::new(&mut self.stream).poll_write(context, &twice);
+                written.map_ok(|count| count.min(bytes.len()))
+            }
+            Manner::InPieces => {
+                if let Some(pause) = &mut self.pause {
+                    std::task::ready!(pause.as_mut().poll(context));
+                }
+                let piece = &bytes[..bytes.len().min(PIECE)];
+                let written = Pin::new(&mut self.stream).poll_write(context, piece);
+                if written.is_ready() {
+                    self.pause = Some(Box::pin(tokio::time::sleep(PIECE_PAUSE)));
+                }
+                written
+            }
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/standin/src/link_tests.rs
+++ b/crates/standin/src/link_tests.rs
@@ -40,6 +40,19 @@
     while TcpStream::connect(address).await.is_err() {}
 }
 
+#[tokio::test]
+async fn what_is_said_comes_twice_or_in_pieces() {
+    let (link, address) = echo().await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    for (manner, wanted) in [(Manner::Twice, &b"aa"[..]), (Manner::InPieces, b"a"), (Manner::Whole, b"a")] {
+        link.set_manner(manner);
+        stream.write_all(b"a").await.unwrap();
+        let mut bytes = vec![0; wanted.len()];
+        stream.read_exact(&mut bytes).await.unwrap();
+        assert_eq!(bytes, wanted, "{manner:?}");
+    }
+}
+
 /// Threads that start processes while the test goes on. A process that is being started holds all descriptors
 /// of its parent until it has become its program.
 fn start_processes(stop: &Arc<AtomicBool>) -> Vec<std::thread::JoinHandle<()>> {
