Unit tests in files of their own: sixteen inline modules moved, with no change

Change: each `mod tests { ... }` and each loose test at the end of a file is `NAME_tests.rs` beside its module; indentation alone differs.

--- /dev/null
+++ b/node/src/http1_tests.rs
@@ -0,0 +1,100 @@
+//! Unit tests of `http1`.
+
+use super::*;
+
+/// Feeds byte by byte, as the worst of networks would, then in one piece: both must agree.
+fn read(mut parser: impl FnMut() -> Parser, input: &str) -> Result<Option<(Head, String)>, Bad> {
+    let run = |mut parser: Parser, step: usize| {
+        let (mut held, mut fed) = (Vec::new(), 0);
+        while fed < input.len() && !parser.is_done() {
+            let upto = (fed + step).min(input.len());
+            held.extend_from_slice(&input.as_bytes()[fed..upto]);
+            fed = upto;
+            let used = parser.feed(&held)?;
+            held.drain(..used);
+        }
+        Ok(parser.message().map(|(head, body)| (head, String::from_utf8(body.to_vec()).unwrap())))
+    };
+    let (slow, fast) = (run(parser(), 1), run(parser(), input.len()));
+    let plain = |found: &Result<Option<(Head, String)>, Bad>| match found {
+        Ok(message) => Ok(message.as_ref().map(|m| m.1.clone())),
+        Err(bad) => Err(*bad),
+    };
+    assert_eq!(plain(&slow), plain(&fast), "{input:?}");
+    fast
+}
+
+fn request(input: &str) -> Result<Option<(Head, String)>, Bad> {
+    read(Parser::requests, input)
+}
+
+#[test]
+fn reads_requests_and_responses_in_pieces() {
+    let (head, body) =
+        request("\r\nPOST /api?x=1 HTTP/1.1\r\nHost: a\r\nX-Txn:  b \r\nContent-Length: 3\r\n\r\nabc")
+            .unwrap()
+            .unwrap();
+    assert_eq!(head.start, Start::Request { method: "POST".into(), target: "/api?x=1".into() });
+    assert_eq!((head.one("x-txn"), head.keep_alive, body.as_str()), (Ok(Some("b")), true, "abc"));
+    let chunked = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\
+         Connection: close\r\n\r\n\
+         3;e=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n";
+    let (head, body) = read(Parser::responses, chunked).unwrap().unwrap();
+    assert_eq!((head.keep_alive, body.as_str()), (false, "abcde"));
+    let plain = b"HTTP/1.0 200 OK\r\n\r\nabc";
+    assert_eq!(Parser::responses().feed(plain), Err(Bad::Malformed));
+    let mut until_end = Parser::responses().open_ended();
+    until_end.feed(plain).unwrap();
+    assert!(!until_end.is_done() && until_end.end());
+    assert!(request("GET / HTTP/1.1\r\nHost: a\r\n").unwrap().is_none());
+}
+
+#[test]
+fn refuses_what_two_readers_could_read_in_two_ways() {
+    for (headers, bad) in [
+        ("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", Bad::Malformed),
+        ("Content-Length: 3\r\nContent-Length: 4\r\n", Bad::Malformed),
+        ("Content-Length: +3\r\n", Bad::Malformed),
+        ("Content-Length: 3, 3\r\n", Bad::Malformed),
+        ("Transfer-Encoding: gzip, chunked\r\n", Bad::Malformed),
+        ("Transfer-Encoding : chunked\r\n", Bad::Malformed),
+        ("A: b\r\n c\r\n", Bad::Malformed),
+        ("A: b\nC: d\r\n", Bad::Malformed),
+        ("Host: b\r\n", Bad::Malformed),
+        ("Content-Length: 65537\r\n", Bad::BodyTooLarge),
+        ("Content-Length: 99999999999999999999999\r\n", Bad::BodyTooLarge),
+        (&format!("A: {}\r\n", "x".repeat(MOST_HEAD)), Bad::HeadTooLarge),
+        (&"A: b\r\n".repeat(MOST_HEADERS + 1), Bad::HeadTooLarge),
+    ] {
+        let found = request(&format!("POST /api HTTP/1.1\r\nHost: a\r\n{headers}\r\n"));
+        assert_eq!(found.err(), Some(bad), "{headers:.60}");
+    }
+    for (first, bad) in [
+        ("GET /api HTTP/2.0", Bad::Version),
+        ("GET /api", Bad::Malformed),
+        ("GET  /api HTTP/1.1", Bad::Malformed),
+        ("GET api HTTP/1.1", Bad::Malformed),
+        ("G(T /api HTTP/1.1", Bad::Malformed),
+    ] {
+        assert_eq!(request(&format!("{first}\r\nHost: a\r\n\r\n")).err(), Some(bad), "{first}");
+    }
+    let chunks = "POST /api HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for body in ["x\r\n", "-1\r\n", "FFFFFFFFF\r\n", "1\r\nabc"] {
+        assert_eq!(request(&format!("{chunks}{body}")).err(), Some(Bad::Malformed), "{body}");
+    }
+    let flood = format!("{chunks}{}", "8000\r\n".to_owned() + &"x".repeat(0x8000) + "\r\n").repeat(1)
+        + &("8000\r\n".to_owned() + &"x".repeat(0x8000) + "\r\n").repeat(2);
+    assert_eq!(request(&flood).err(), Some(Bad::BodyTooLarge));
+}
+
+#[test]
+fn passes_on_what_concerns_both_ends_only() {
+    let (head, _) = request(
+        "GET / HTTP/1.1\r\nHost: a\r\nX-Txn: t\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: x\r\n\r\n",
+    )
+    .unwrap()
+    .unwrap();
+    assert_eq!(head.end_to_end().collect::<Vec<_>>(), [("host", "a"), ("x-txn", "t")]);
+    assert_eq!(write("GET / HTTP/1.1", [("a", "b")], None), b"GET / HTTP/1.1\r\na: b\r\n\r\n");
+    assert!(write("X", [], Some(b"abc")).ends_with(b"content-length: 3\r\n\r\nabc"));
+}
--- /dev/null
+++ b/node/src/req_tests.rs
@@ -0,0 +1,117 @@
+//! Unit tests of `req`.
+
+use super::*;
+use crate::clock::{MS, SECOND};
+use kitefork::{Backend, BackendState, CellId, Class, Group, ListKind};
+
+const NOW: Nanos = 100 * SECOND;
+
+fn reqs(effect: Effect) -> Reqs<()> {
+    let class = Class { aim: SECOND, deadline: 5 * SECOND, worth: 1.0, effect, ..Class::default() };
+    let settings = Settings { classes: vec![class], ..Settings::default() };
+    let mut reqs = Reqs::new(settings, 1, 4, NOW).unwrap();
+    let state = BackendState::Ready;
+    let backend = |id| Backend { id: BackendId(id), cell: CellId(0), state, ..Backend::default() };
+    reqs.feed(NOW, Event::List { kind: ListKind::Full, backends: vec![backend(1), backend(2)] });
+    reqs
+}
+
+fn open(reqs: &mut Reqs<()>) -> u32 {
+    reqs.open(NOW, 77, ask(), ()).unwrap().0
+}
+
+fn ask() -> Ask {
+    Ask { txn: "a".into(), class: 0, tenant: 0, patience: SECOND, work_hint: None, client_retry: false }
+}
+
+fn answers(reqs: &mut Reqs<()>) -> Vec<Synthetic> {
+    let answer = |order| match order {
+        Order::Answer { owner: 77, answer } => Some(answer),
+        _ => None,
+    };
+    reqs.orders.drain(..).filter_map(answer).collect()
+}
+
+#[test]
+fn one_answer_whatever_comes_after_it() {
+    let mut reqs = reqs(Effect::Safe);
+    let id = open(&mut reqs);
+    assert_eq!(reqs.ended(NOW + MS, id, 0, Outcome::Ok), Some(77));
+    assert_eq!(reqs.ended(NOW + MS, id, 0, Outcome::Ok), None);
+    assert!(!reqs.expire(NOW + 2 * SECOND, id) && answers(&mut reqs).is_empty());
+    assert!(reqs.unanswered().is_empty() && reqs.cargo(id).is_none());
+}
+
+#[test]
+fn a_name_is_free_again_once_its_req_has_nothing_out() {
+    let mut reqs = reqs(Effect::Safe);
+    let id = open(&mut reqs);
+    assert_eq!(reqs.open(NOW, 78, ask(), ()), Err(Barred::Twin));
+    assert!(reqs.expire(NOW + SECOND, id));
+    assert_eq!(reqs.open(NOW + SECOND, 78, ask(), ()), Err(Barred::Twin));
+    reqs.ended(NOW + SECOND, id, 0, Outcome::Cancelled);
+    assert!(reqs.open(NOW + SECOND, 78, ask(), ()).is_ok());
+}
+
+#[test]
+fn the_last_resort_answers_stops_the_fetch_and_keeps_the_req_until_that_has_ended() {
+    let mut reqs = reqs(Effect::Safe);
+    let id = open(&mut reqs);
+    assert!(reqs.expire(NOW + SECOND, id));
+    assert!(reqs.orders.contains(&Order::Stop { req: id, attempt: 0 }));
+    assert_eq!(answers(&mut reqs), [Synthetic::TimedOut]);
+    assert!(reqs.cargo(id).is_some());
+    assert_eq!(reqs.ended(NOW + SECOND, id, 0, Outcome::Cancelled), None);
+    assert!(reqs.cargo(id).is_none() && answers(&mut reqs).is_empty());
+}
+
+#[test]
+fn a_node_that_ends_refuses_what_never_ran_and_fails_what_may_have() {
+    let keyed = Effect::Keyed { group: Group::Cell, window: SECOND };
+    for (outcome, wanted) in
+        [(Some(Outcome::ConnectFailed), Synthetic::Refused { retry_after: 0 }), (None, Synthetic::Failed)]
+    {
+        let mut reqs = reqs(keyed);
+        let id = open(&mut reqs);
+        reqs.table.get_mut(id).unwrap().attempts[0].outcome = outcome;
+        reqs.give_back(NOW + MS, id);
+        assert_eq!(answers(&mut reqs), [wanted]);
+    }
+}
+
+#[test]
+fn no_refusal_of_what_may_have_run() {
+    for (effect, outcome, wanted) in [
+        (Effect::Unsafe, Outcome::Reset, Synthetic::Failed),
+        (Effect::Unsafe, Outcome::Timeout, Synthetic::TimedOut),
+        (Effect::Unsafe, Outcome::Full, Synthetic::Refused { retry_after: 0 }),
+        (Effect::Keyed { group: Group::Cell, window: 1 }, Outcome::Error, Synthetic::Failed),
+        (
+            Effect::Keyed { group: Group::All, window: 1 },
+            Outcome::Error,
+            Synthetic::Refused { retry_after: 0 },
+        ),
+    ] {
+        let mut reqs = reqs(effect);
+        let id = open(&mut reqs);
+        // After a first answer nothing is decided any more, so the guard is met directly.
+        reqs.table.get_mut(id).unwrap().attempts[0].outcome = Some(outcome);
+        reqs.table.get_mut(id).unwrap().last_outcome = Some(outcome);
+        reqs.answer(NOW, id, Synthetic::Refused { retry_after: 0 });
+        assert_eq!(answers(&mut reqs), [wanted], "{effect:?} {outcome:?}");
+    }
+}
+
+#[test]
+fn a_repeat_must_be_written_within_the_window_of_the_attempt_that_may_have_run() {
+    let mut reqs = reqs(Effect::Keyed { group: Group::Cell, window: 300 * MS });
+    let id = open(&mut reqs);
+    assert_eq!(reqs.table.get(id).unwrap().write_by(), NOW + 300 * MS);
+    reqs.table.get_mut(id).unwrap().attempts[0].outcome = Some(Outcome::Reset);
+    assert_eq!(reqs.send(NOW + 301 * MS, id, BackendId(2), 0), Some((id, 1)));
+    let req = reqs.table.get_mut(id).unwrap();
+    req.attempts[1].outcome = Some(Outcome::Moot);
+    assert_eq!(reqs.send(NOW + 299 * MS, id, BackendId(2), 0), None);
+    // Never two at once.
+    assert_eq!(reqs.send(NOW + 299 * MS, id, BackendId(2), 0), Some((id, 3)));
+}
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -113,43 +113,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn frame(records: u32, now: u64, batch: u32, body: &[u8]) -> Vec<u8> {
-        let mut frame = records.to_le_bytes().to_vec();
-        frame.extend((body.len() as u32).to_le_bytes());
-        frame.extend(now.to_le_bytes());
-        frame.extend(batch.to_le_bytes());
-        frame.extend(body);
-        frame
-    }
-
-    #[test]
-    fn an_empty_batch_gets_an_empty_reply() {
-        let mut output = Vec::new();
-        run(&frame(0, 5, 7, &[])[..], &mut output).unwrap();
-        assert_eq!(output, [0, 0, 0, 0, 0, 0, 0, 0, 7, 0, 0, 0]);
-    }
-
-    #[test]
-    fn senseless_settings_are_a_fault_of_the_instance() {
-        let mut body = vec![0; 40];
-        body[0] = 22;
-        body[15] = 2;
-        body.extend(b"{}");
-        let mut output = Vec::new();
-        run(&frame(1, 5, 7, &body)[..], &mut output).unwrap();
-        assert_eq!(output[12], 89);
-        assert!(String::from_utf8_lossy(&output).contains("missing field"));
-    }
-
-    #[test]
-    fn a_cut_frame_is_an_error_without_a_reply() {
-        let mut output = Vec::new();
-        let whole = frame(1, 5, 7, &[16; 40]);
-        let error = run(&whole[..30], &mut output).unwrap_err();
-        assert_eq!(error.to_string(), "batch 7, offset 30: the input ends within a frame");
-        assert!(output.is_empty());
-    }
-}
+#[path = "main_tests.rs"]
+mod tests;
