A failing test: a configuration that never ends, or a pipe nobody writes to, stops the node at SIGHUP

Found by reading: `config::load` reads the whole file in the loop, with no bound on its length, and opening a pipe waits for its writer. Class: a blocking call in the loop (as the log was), and memory without bound from a file. The test fails: after SIGHUP the log says nothing more for 20 s, and no request is answered. (Run under `ulimit -v`: the other half reads /dev/zero until memory ends.)

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -378,9 +378,22 @@
 
     /// Puts a file in place of the configuration whose reading gives EIO, and tells the node.
     pub fn reload_unreadable(&self) {
-        std::fs::remove_file(config_path()).unwrap();
         // The memory of the reading process at its address 0, which is never mapped.
-        std::os::unix::fs::symlink("/proc/self/mem", config_path()).unwrap();
+        self.reload_from("/proc/self/mem");
+    }
+
+    /// Puts another file in place of the configuration, and tells the node.
+    pub fn reload_from(&self, file: &str) {
+        std::fs::remove_file(config_path()).unwrap();
+        std::os::unix::fs::symlink(file, config_path()).unwrap();
+        self.signal(Signal::HUP);
+    }
+
+    /// Puts a pipe to which nobody writes in place of the configuration, and tells the node.
+    pub fn reload_from_pipe(&self) {
+        std::fs::remove_file(config_path()).unwrap();
+        let mode = rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR;
+        rustix::fs::mkfifoat(rustix::fs::CWD, config_path(), mode).unwrap();
         self.signal(Signal::HUP);
     }
 
--- a/node/tests/terms/faults.rs
+++ b/node/tests/terms/faults.rs
@@ -179,6 +179,18 @@
     world.expect_log("reload discovery=");
 }
 
+#[test]
+fn a_configuration_that_never_ends_or_never_comes_holds_up_nobody() {
+    for put in [|world: &World| world.reload_from("/dev/zero"), World::reload_from_pipe] {
+        let (mut world, backend) = world_of(|config| World::with(config));
+        put(&world);
+        world.expect_log("reload-failed");
+        assert_eq!((ask(&world, 10), backend.served()), (10, 10));
+        world.reload_sound();
+        world.expect_log("reload discovery=");
+    }
+}
+
 #[test]
 fn a_request_that_cannot_be_read_for_a_moment_when_the_node_stops_accepting_is_answered() {
     // The node stops accepting 0.6 s after SIGTERM, in the span in which nothing can be read.
