SIGHUP waits for no configuration and reads 32 MiB of it at most

Change: `reload` opens the file without waiting, and both readings are bounded; at the start a pipe is still waited for. config.rs's inline tests are config_tests.rs, unchanged.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,13 +1,19 @@
 //! What the node is told at its start: environment and configuration file. The environment wins, so that an
 //! address can be changed without touching the file.
 
+use std::fs::{File, OpenOptions};
+use std::io::Read as _;
 use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt as _;
 
 use kitefork_settings::Deployment;
 use kitefork_settings::json::{Fault, Place, Tree};
+use rustix::fs::OFlags;
 
 use crate::discovery::Update;
 
+/// Longest configuration file that is read: several times a list of thousands of backends.
+const MOST_BYTES: u64 = 32 << 20;
 /// With fewer descriptors a node can't hold a client and a backend beside what it needs for itself.
 const LEAST_SOCKETS: usize = 32;
 
@@ -27,19 +33,34 @@
 }
 
 /// Where the configuration file, read anew, has discovery. The whole file must be sound. The environment does
-/// not win here: it can't change in a running process and still has the address from the start.
+/// not win here: it can't change in a running process and still has the address from the start. Nothing is
+/// waited for: a pipe that has nothing to say now is a fault.
 pub fn reload(env: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, Fault> {
     let env = |name: &str| env(name).filter(|_| name != "BALANCER_DISCOVERY");
-    load(env).map(|config| config.discovery)
+    load_with(env, OFlags::NONBLOCK).map(|config| config.discovery)
 }
 
 /// Reads it all; an error is one line that names the key or variable.
 pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    load_with(env, OFlags::empty())
+}
+
+fn load_with(env: impl Fn(&str) -> Option<String>, flags: OFlags) -> Result<Config, Fault> {
     let path = env("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-    let text = std::fs::read(&path).map_err(|e| format!("BALANCER_CONFIG: {e}"))?;
+    let opened = OpenOptions::new().read(true).custom_flags(flags.bits() as i32).open(&path);
+    let text = opened.and_then(read_bounded).map_err(|e| format!("BALANCER_CONFIG: {e}"))?;
     read(&text, env).map_err(|fault| format!("configuration: {fault}"))
 }
 
+fn read_bounded(file: File) -> std::io::Result<Vec<u8>> {
+    let mut text = Vec::new();
+    file.take(MOST_BYTES + 1).read_to_end(&mut text)?;
+    if text.len() as u64 > MOST_BYTES {
+        return Err(std::io::Error::other("the file is too long"));
+    }
+    Ok(text)
+}
+
 fn read(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
     let tree = Tree::parse(text)?;
     let root = tree.root();
@@ -78,53 +99,5 @@
 }
 
 #[cfg(test)]
-pub mod tests {
-    use super::*;
-
-    pub const CONFIG: &str = r#"{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
-        "seed":"8c1f30d27a5be964","limits":{"sockets":256},"known":{"rev":41,"all":true,"targets":[
-          {"uid":"s-1","endpoint":"127.0.0.1:2","az":"b","model":"m2","pod_group":3,"state":"Ready",
-           "boot_ms":0}]},
-        "settings":{"azs":["a","b"],"kinds":["m1","m2"],"membershipMode":"subscribe","tickNs":5000000,
-          "grades":[{"effect":"by_key","windowNs":3000000000,"goalTimeNs":1200000000,
-            "giveUpNs":5000000000,"importance":1.0,"name":"report"},
-            {"effect":"repeatable","goalTimeNs":1200000000,"giveUpNs":5000000000,
-             "importance":1.0,"name":"look"}],
-          "tenants":[{"name":"acme","quotaPerS":9.0}],
-          "limits":{"maxAttempts":5},
-          "rules":{"coldFrom":0.3,"coldNs":1,"drainGraceNs":1,"fallNs":1,"tipMultiple":3.0}}}"#;
-
-    #[test]
-    fn the_environment_wins_over_the_file() {
-        let env = |name: &str| (name == "BALANCER_LISTEN").then(|| "127.0.0.1:9".to_string());
-        let config = read(CONFIG.as_bytes(), env).unwrap();
-        assert_eq!((config.listen.port(), config.discovery.port(), config.sockets), (9, 1, 256));
-        assert_eq!((config.known.rev, config.known.entries.len()), (41, 1));
-        assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
-    }
-
-    #[test]
-    fn a_fault_names_its_key() {
-        for (old, new, wanted) in [
-            ("\"seed\"", "\"sead\"", "`seed`"),
-            ("8c1f", "zz", "`seed`"),
-            ("127.0.0.1:1\"", "nowhere\"", "`discovery`"),
-            ("giveUpNs", "giveUp", "missing field `settings.grades[0].giveUpNs`"),
-            (
-                "\"importance\":1.0,\"name\":\"look\"",
-                "\"importance\":1.0,\"streamed\":true",
-                "`settings.grades`",
-            ),
-            ("\"boot_ms\":0", "\"boot_ms\":-1", "`known.targets[0].boot_ms`"),
-            ("\"sockets\":256", "\"sockets\":31", "`limits.sockets`"),
-            ("\"goalTimeNs\":1200000000", "\"goalTimeNs\":0", "`settings.grades`"),
-            ("\"fallNs\":1", "\"fallNs\":0", "`settings.rules.fallNs`"),
-            ("\"coldFrom\":0.3", "\"coldFrom\":0", "`settings.rules.coldFrom`"),
-            ("\"tickNs\":5000000", "\"tickNs\":0", "`settings.tickNs`"),
-            ("\"fallNs\":1", "\"fallNs\":1,\"drainCloseNs\":0", "`settings.rules.drainCloseNs`"),
-        ] {
-            let fault = read(CONFIG.replace(old, new).as_bytes(), |_| None).err().unwrap();
-            assert!(fault.contains(wanted), "{fault}");
-        }
-    }
-}
+#[path = "config_tests.rs"]
+pub mod tests;
