--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -157,8 +157,8 @@
 }
 
 /// A port that belongs to one link for good. A socket that is bound and never listens holds it: closing the
-/// listener and binding anew would lose it to others whenever a process is being started, which holds a copy of
-/// the listener until it has become its program.
+/// listener and binding anew would lose it to others whenever a process is being started, which holds a copy
+/// of the listener until it has become its program.
 struct Port {
     address: SocketAddr,
     _holder: TcpSocket,
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -11,8 +11,8 @@
 use crate::clock::{MS, SECOND};
 use crate::http1::{self, Bad, Head, MOST_ANSWER, MOST_HEAD, Parser, Start};
 use crate::net::{self, Registration, Unread};
-use crate::req::{Ask, Synthetic};
-use crate::ring::{Body, Budget, Read, Ring, Write};
+use crate::req::{LocalReply, RequestSpec};
+use crate::ring::{Body, Budget, Read, RingBuffer, Write};
 use crate::rules::CloseFacts;
 use crate::wheel::Deadline;
 
@@ -55,8 +55,8 @@
 
 pub struct Session {
     pub socket: OwnedFd,
-    pub outbox: Ring,
-    inbox: Ring,
+    pub outbox: RingBuffer,
+    inbox: RingBuffer,
     parser: Parser,
     pub phase: Phase,
     /// The req that it waits for.
@@ -102,8 +102,8 @@
         Session {
             socket,
             // An answer, its head, and a word of leave before it.
-            outbox: Ring::new(MOST_ANSWER + 2 * MOST_HEAD).on(budget),
-            inbox: Ring::new(MOST_HEAD + 1024).on(budget),
+            outbox: RingBuffer::new(MOST_ANSWER + 2 * MOST_HEAD).on(budget),
+            inbox: RingBuffer::new(MOST_HEAD + 1024).on(budget),
             parser: Parser::requests().on(budget),
             phase: Phase::Open,
             req: None,
@@ -144,7 +144,7 @@
     ///
     /// Some clients ask once and then keep their connection for good, others say nothing at all; those that
     /// have come back are of use. By age alone, a flood of the former would push the latter out.
-    pub fn spare(&self, now: Nanos) -> Option<(u8, Nanos)> {
+    pub fn eviction_rank(&self, now: Nanos) -> Option<(u8, Nanos)> {
         let free = self.req.is_none() && self.outbox.is_empty();
         let age = now.saturating_sub(self.since);
         let class = match self.phase {
@@ -189,7 +189,7 @@
     }
 
     /// The inbox has no room until the current req is over and its answer written.
-    pub fn is_stuffed(&self) -> bool {
+    pub fn is_input_full(&self) -> bool {
         self.inbox.len() > MOST_HEAD
     }
 
@@ -282,7 +282,7 @@
     /// The last turn before its socket closes. With bytes unread that is a reset, which throws away what the
     /// kernel has not yet sent of an answer. The end goes out first: a request that comes in this very moment
     /// has met a close, and its client asks again elsewhere; read before the end it would look taken.
-    pub fn part(&mut self) {
+    pub fn close_gracefully(&mut self) {
         if self.asked == 0 && self.phase == Phase::Open {
             return;
         }
@@ -390,13 +390,13 @@
 }
 
 /// Status and `Retry-After` of an answer that no backend made.
-pub fn status_and_advice(answer: Synthetic) -> (u16, Option<String>) {
+pub fn status_and_advice(answer: LocalReply) -> (u16, Option<String>) {
     match answer {
-        Synthetic::Refused { retry_after: 0 } => (503, None),
+        LocalReply::Refused { retry_after: 0 } => (503, None),
         // Whole seconds are what every client reads.
-        Synthetic::Refused { retry_after } => (503, Some(retry_after.div_ceil(SECOND).to_string())),
-        Synthetic::Failed => (502, None),
-        Synthetic::TimedOut => (504, None),
+        LocalReply::Refused { retry_after } => (503, Some(retry_after.div_ceil(SECOND).to_string())),
+        LocalReply::Failed => (502, None),
+        LocalReply::TimedOut => (504, None),
     }
 }
 
@@ -431,7 +431,7 @@
 /// What a message asks for.
 pub enum Route {
     Health,
-    Req(Ask, Call),
+    Request(RequestSpec, Call),
     /// It is answered with this status, and why.
     Wrong(u16, &'static str),
 }
@@ -440,13 +440,17 @@
 /// come to see it.
 pub fn route(head: Head, body: Body, deployment: &Deployment, waited: Nanos) -> Route {
     match ask(&head, deployment, waited) {
-        Ok(Some(ask)) => Route::Req(ask, Call { head, body }),
+        Ok(Some(ask)) => Route::Request(ask, Call { head, body }),
         Ok(None) => Route::Health,
         Err((status, why)) => Route::Wrong(status, why),
     }
 }
 
-fn ask(head: &Head, deployment: &Deployment, waited: Nanos) -> Result<Option<Ask>, (u16, &'static str)> {
+fn ask(
+    head: &Head,
+    deployment: &Deployment,
+    waited: Nanos,
+) -> Result<Option<RequestSpec>, (u16, &'static str)> {
     let Start::Request { method, target } = &head.start else { return Err((400, "not a request")) };
     let path = target.split('?').next().unwrap_or_default();
     if path == HEALTH {
@@ -490,7 +494,7 @@
     if keyed && header("idempotency-key")?.is_none_or(str::is_empty) {
         return Err((400, "Idempotency-Key is missing"));
     }
-    Ok(Some(Ask {
+    Ok(Some(RequestSpec {
         txn: txn.into(),
         class,
         tenant,
--- a/node/src/client_tests.rs
+++ b/node/src/client_tests.rs
@@ -18,7 +18,7 @@
 
 #[test]
 fn a_req_keeps_what_is_the_clients_and_counts_its_time_from_the_first_byte() {
-    let Route::Req(ask, call) = routed(GOOD) else { panic!("not a req") };
+    let Route::Request(ask, call) = routed(GOOD) else { panic!("not a req") };
     assert_eq!((ask.class, ask.tenant, ask.patience, ask.work_hint), (0, 0, 450 * MS, Some(1_500_000)));
     let bytes = String::from_utf8(call.bytes(449)).unwrap();
     assert!(bytes.starts_with("POST /api?a=b HTTP/1.1\r\nhost: h\r\nx-txn: 1f\r\n"), "{bytes}");
@@ -64,15 +64,15 @@
     session.answer(0, 200, &[], b"hi", false);
     assert!(session.flush(0) == Write::Done && far.read(&mut [0; 256]).unwrap() > 0);
     far.write_all(GOOD.as_bytes()).unwrap();
-    session.part();
+    session.close_gracefully();
     assert_eq!(far.read(&mut [0; 256]).unwrap(), 0);
     assert!(!session.may_have_unread());
 }
 
 #[test]
 fn advice_is_whole_seconds_and_only_refusals_carry_it() {
-    let refused = |retry_after| status_and_advice(Synthetic::Refused { retry_after });
+    let refused = |retry_after| status_and_advice(LocalReply::Refused { retry_after });
     assert_eq!(refused(1_200 * MS), (503, Some("2".into())));
     assert_eq!(refused(0), (503, None));
-    assert_eq!(status_and_advice(Synthetic::TimedOut), (504, None));
+    assert_eq!(status_and_advice(LocalReply::TimedOut), (504, None));
 }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -12,7 +12,7 @@
 use crate::clock::{MS, SECOND};
 use crate::http1::{self, Parser, Start};
 use crate::net::Registration;
-use crate::ring::{Read, Ring};
+use crate::ring::{Read, RingBuffer};
 use crate::start_time::{Heard, StartTimes};
 use crate::wheel::Deadline;
 
@@ -105,7 +105,7 @@
 
 /// How an update stands to what is known.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Age {
+pub enum Freshness {
     /// From before the start.
     Cached,
     Current,
@@ -155,7 +155,7 @@
     /// those that are leaving and those that have moved. An older one is taken too, as its sender may have
     /// begun to count anew; but a backend that was told to leave is back only with a newer one, or a newer
     /// start.
-    pub fn apply(&mut self, heard: &Heard, update: &Update, age: Age) -> (Event, Vec<BackendId>) {
+    pub fn apply(&mut self, heard: &Heard, update: &Update, age: Freshness) -> (Event, Vec<BackendId>) {
         let now = heard.now;
         let mut ends = Vec::new();
         // All of them before any is dated: the youngest one tells most of the clocks.
@@ -164,7 +164,7 @@
         }
         let mut backends: Vec<Backend> =
             update.entries.iter().map(|entry| self.backend(heard, entry, age)).collect();
-        for (entry, backend) in update.entries.iter().zip(&mut backends).filter(|_| age == Age::Older) {
+        for (entry, backend) in update.entries.iter().zip(&mut backends).filter(|_| age == Freshness::Older) {
             let left = self.members.get(&backend.id).filter(|member| entry.boot_ms <= member.boot_ms);
             if let Some(left) = left.filter(|member| member.state != BackendState::Ready) {
                 backend.state = left.state;
@@ -197,7 +197,7 @@
         self.members.retain(|_, m| m.state != BackendState::Gone || now < m.told.saturating_add(REMEMBERED));
         self.ids.retain(|_, id| self.members.contains_key(id));
         let kind = match (age, update.all) {
-            (Age::Cached, _) => ListKind::Cached,
+            (Freshness::Cached, _) => ListKind::Cached,
             (_, true) => ListKind::Full,
             (_, false) => ListKind::Delta,
         };
@@ -219,7 +219,7 @@
         })
     }
 
-    fn backend(&mut self, heard: &Heard, entry: &Entry, age: Age) -> Backend {
+    fn backend(&mut self, heard: &Heard, entry: &Entry, age: Freshness) -> Backend {
         let id = *self.ids.entry(entry.uid.clone()).or_insert(BackendId(self.next));
         self.next += u32::from(id.0 == self.next);
         // A start is dated once: clocks that are stepped later don't make it another.
@@ -245,10 +245,10 @@
 
 /// Whether a list tells of another start than the one that is known. Where the wall clock was set back, a new
 /// start looks earlier than the old one; a list that is behind may still tell of an old one.
-fn is_new_start(known: &Member, entry: &Entry, age: Age) -> bool {
+fn is_new_start(known: &Member, entry: &Entry, age: Freshness) -> bool {
     match age {
-        Age::Older => entry.boot_ms > known.boot_ms,
-        Age::Cached | Age::Current => entry.boot_ms != 0 && entry.boot_ms != known.boot_ms,
+        Freshness::Older => entry.boot_ms > known.boot_ms,
+        Freshness::Cached | Freshness::Current => entry.boot_ms != 0 && entry.boot_ms != known.boot_ms,
     }
 }
 
@@ -297,8 +297,8 @@
 pub struct Call {
     pub socket: OwnedFd,
     pub watch: bool,
-    pub outbox: Ring,
-    inbox: Ring,
+    pub outbox: RingBuffer,
+    inbox: RingBuffer,
     parser: Parser,
     scan: Scan,
     pub heard: Nanos,
@@ -328,7 +328,7 @@
     pub fn new(socket: OwnedFd, watch: bool, after: u64, host: SocketAddr, now: Nanos) -> Call {
         let query = if watch { format!("?watch=1&after={after}") } else { String::new() };
         let first = format!("GET /catalog/members{query} HTTP/1.1");
-        let mut outbox = Ring::new(4096);
+        let mut outbox = RingBuffer::new(4096);
         let sent = outbox.push(&http1::write(&first, [("host", host.to_string().as_str())], None));
         debug_assert!(sent, "a call fits its ring");
         let parser = Parser::responses().with_most_body(MOST_LIST).open_ended();
@@ -336,7 +336,7 @@
             socket,
             watch,
             outbox,
-            inbox: Ring::new(64 * 1024),
+            inbox: RingBuffer::new(64 * 1024),
             parser,
             scan: Scan::default(),
             heard: now,
--- a/node/src/discovery_tests.rs
+++ b/node/src/discovery_tests.rs
@@ -28,15 +28,18 @@
     let (event, ends) = fleet.apply(
         &at(0),
         &update(true, &[("a", 1, "Ready"), ("b", 2, "Ready"), ("c", 3, "Ready")]),
-        Age::Cached,
+        Freshness::Cached,
     );
     assert_eq!((ids(event), ends), (vec![0, 1, 2], vec![]));
-    let (event, ends) =
-        fleet.apply(&at(0), &update(false, &[("b", 9, "Ready"), ("c", 3, "Terminating")]), Age::Current);
+    let (event, ends) = fleet.apply(
+        &at(0),
+        &update(false, &[("b", 9, "Ready"), ("c", 3, "Terminating")]),
+        Freshness::Current,
+    );
     assert_eq!((ids(event), ends), (vec![1, 2], vec![BackendId(1), BackendId(2)]));
     assert_eq!(fleet.endpoint(BackendId(1)).unwrap().port(), 9);
     assert_eq!(fleet.endpoint(BackendId(2)), None);
-    let (_, ends) = fleet.apply(&at(0), &update(true, &[("b", 9, "Ready")]), Age::Current);
+    let (_, ends) = fleet.apply(&at(0), &update(true, &[("b", 9, "Ready")]), Freshness::Current);
     assert!(ends.contains(&BackendId(0)) && fleet.has_ready());
 }
 
@@ -44,7 +47,7 @@
 fn a_uid_has_the_same_mark_at_every_node_whatever_its_number() {
     let marks = |entries: &[(&str, u16, &str)]| {
         let mut fleet = Fleet::new(vec![], vec![]);
-        let (event, _) = fleet.apply(&at(0), &update(true, entries), Age::Cached);
+        let (event, _) = fleet.apply(&at(0), &update(true, entries), Freshness::Cached);
         let Event::List { backends, .. } = event else { panic!("{event:?}") };
         backends.iter().map(|b| b.mark).collect::<Vec<_>>()
     };
@@ -60,7 +63,8 @@
     let mut numbers = Vec::new();
     for turn in 0..1000 {
         let uid = format!("s-{turn}");
-        let (event, _) = fleet.apply(&at(turn * SECOND), &update(true, &[(&uid, 1, "Ready")]), Age::Current);
+        let (event, _) =
+            fleet.apply(&at(turn * SECOND), &update(true, &[(&uid, 1, "Ready")]), Freshness::Current);
         numbers.extend(ids(event));
         assert!(fleet.members.len() <= 62 && fleet.ids.len() == fleet.members.len());
     }
@@ -68,7 +72,7 @@
     assert!(numbers.is_sorted() && numbers.len() == 1000);
     // One that comes back soon is the same, one that comes back late is new.
     let mut again =
-        |uid| ids(fleet.apply(&at(1000 * SECOND), &update(true, &[(uid, 1, "Ready")]), Age::Current).0);
+        |uid| ids(fleet.apply(&at(1000 * SECOND), &update(true, &[(uid, 1, "Ready")]), Freshness::Current).0);
     assert_eq!((again("s-990"), again("s-3")), (vec![990], vec![1000]));
 }
 
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -9,7 +9,7 @@
 use crate::clock::{MS, SECOND};
 use crate::http1::{Head, MOST_BODY, MOST_HEAD, Parser, Start};
 use crate::net::{self, Registration, Unread};
-use crate::ring::{Body, Budget, Read, Ring, Write};
+use crate::ring::{Body, Budget, Read, RingBuffer, Write};
 use crate::wheel::Deadline;
 
 /// Once some backend has said more than it was asked, for so long ...
@@ -22,14 +22,14 @@
 /// What a fetch is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Job {
-    Req { req: u32, attempt: u8 },
+    Request { req: u32, attempt: u8 },
     Probe { backend: BackendId, sent: Nanos },
 }
 
 impl Job {
     /// It is an attempt of this request.
     pub fn is_attempt_of(self, request: u32) -> bool {
-        matches!(self, Job::Req { req, .. } if req == request)
+        matches!(self, Job::Request { req, .. } if req == request)
     }
 }
 
@@ -57,8 +57,8 @@
     pub write_by: Nanos,
     /// The attempt has waited for news of the list to be read.
     pub waited_for_news: bool,
-    pub outbox: Ring,
-    inbox: Ring,
+    pub outbox: RingBuffer,
+    inbox: RingBuffer,
     parser: Parser,
     pub deadline: Deadline,
     pub registration: Registration,
@@ -98,8 +98,8 @@
             write_by: Nanos::MAX,
             waited_for_news: false,
             // A head as long as a client's, and what the node adds to it.
-            outbox: Ring::new(MOST_BODY + 2 * MOST_HEAD).on(budget),
-            inbox: Ring::new(MOST_HEAD + 1024).on(budget),
+            outbox: RingBuffer::new(MOST_BODY + 2 * MOST_HEAD).on(budget),
+            inbox: RingBuffer::new(MOST_HEAD + 1024).on(budget),
             // An answer may have neither length nor chunks: an orderly end of the connection makes it
             // whole, a reset does not.
             parser: Parser::responses().open_ended().on(budget),
@@ -224,7 +224,7 @@
 #[derive(Default)]
 pub struct Pool {
     idle: BTreeMap<BackendId, Vec<(u32, Nanos)>>,
-    wary_until: Nanos,
+    suspect_until: Nanos,
 }
 
 impl Pool {
@@ -235,13 +235,13 @@
     /// What a connection has shown of its backend.
     pub fn note(&mut self, reuse: Reuse, now: Nanos) {
         if reuse == Reuse::Doubled {
-            self.wary_until = now.saturating_add(WARY);
+            self.suspect_until = now.saturating_add(WARY);
         }
     }
 
     /// The newest that may be used: the older ones get to age out.
     pub fn take(&mut self, backend: BackendId, now: Nanos) -> Option<u32> {
-        let rest = if now < self.wary_until { REST } else { 0 };
+        let rest = if now < self.suspect_until { REST } else { 0 };
         let idle = self.idle.get_mut(&backend)?;
         let place = idle.iter().rposition(|(_, since)| now >= since.saturating_add(rest))?;
         Some(idle.remove(place).0)
@@ -262,7 +262,7 @@
     }
 
     /// Some idle connection, out of the pool: the oldest of the backend with the most.
-    pub fn spare(&mut self) -> Option<u32> {
+    pub fn evict(&mut self) -> Option<u32> {
         let most = self.idle.values_mut().max_by_key(|idle| idle.len())?;
         (!most.is_empty()).then(|| most.remove(0).0)
     }
--- a/node/src/ledger.rs
+++ b/node/src/ledger.rs
@@ -23,15 +23,15 @@
 const ASKED: usize = 4;
 
 #[derive(Debug, Clone, Copy)]
-pub struct Ledger {
+pub struct DescriptorBudget {
     limit: usize,
     connections: usize,
 }
 
-impl Ledger {
+impl DescriptorBudget {
     /// For a process that may hold `limit` descriptors in all.
-    pub fn new(limit: usize) -> Ledger {
-        Ledger { limit, connections: limit.saturating_sub(REST).max(4) }
+    pub fn new(limit: usize) -> DescriptorBudget {
+        DescriptorBudget { limit, connections: limit.saturating_sub(REST).max(4) }
     }
 
     fn reserve(&self, purpose: Purpose) -> usize {
@@ -58,7 +58,7 @@
     }
 
     /// How many sessions that have asked may be held before idle ones close.
-    pub fn most_asked(&self) -> usize {
+    pub fn most_active_sessions(&self) -> usize {
         self.limit / ASKED
     }
 }
--- a/node/src/ledger_tests.rs
+++ b/node/src/ledger_tests.rs
@@ -11,7 +11,7 @@
         limit in 64usize..=4096,
         steps in prop::collection::vec(any::<(bool, bool)>(), 0..6000),
     ) {
-        let ledger = Ledger::new(limit);
+        let ledger = DescriptorBudget::new(limit);
         let mut held = [0usize; 2];
         for (fetch, take) in steps {
             let (purpose, own) = if fetch { (Purpose::Fetch, 1) } else { (Purpose::Session, 0) };
@@ -32,6 +32,6 @@
         }
         let alone = (0..).find(|n| !ledger.fits(Purpose::Session, *n, 0)).unwrap();
         prop_assert_eq!(alone, ledger.most(Purpose::Session));
-        prop_assert!(ledger.most_asked() < limit / 3 && ledger.most_asked() < alone);
+        prop_assert!(ledger.most_active_sessions() < limit / 3 && ledger.most_active_sessions() < alone);
     }
 }
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -19,17 +19,17 @@
 use crate::clock::{Clock, MS, SECOND};
 use crate::config::Config;
 use crate::counters::Counters;
-use crate::discovery::{Age, Call, Fleet};
+use crate::discovery::{Call, Fleet, Freshness};
 use crate::fetch::{Fetch, Job, Pool};
-use crate::ledger::{Ledger, Purpose};
+use crate::ledger::{DescriptorBudget, Purpose};
 use crate::log::{Log, Trace};
 use crate::net;
-use crate::req::{Order, Reqs};
+use crate::req::{Command, RequestTable};
 use crate::ring::Budget;
 use crate::rules::{Denial, Violation};
 use crate::signals::Signal;
-use crate::slots::Slots;
-use crate::wheel::Wheel;
+use crate::slots::Slab;
+use crate::wheel::TimerWheel;
 
 /// A probe that has no answer by then has failed.
 const PROBE_PATIENCE: Nanos = 500 * MS;
@@ -62,7 +62,7 @@
 enum Due {
     Session(u32),
     NextMessage(u32),
-    Req(u32),
+    Request(u32),
     Fetch(u32),
     ResumeFetch(u32),
     Redial,
@@ -76,7 +76,7 @@
     EndDrain,
     Quit,
     Watch,
-    GoBlind,
+    ServeStaleList,
 }
 
 /// What a socket belongs to; its epoll token holds this and a number.
@@ -117,7 +117,7 @@
     /// After this the next accept is tried where the machine lacks something.
     accept_retry: Nanos,
     postponed: Vec<PostponedDial>,
-    wheel: Wheel<Due>,
+    wheel: TimerWheel<Due>,
     epoll: OwnedFd,
     log: Log,
     trace: Trace,
@@ -135,25 +135,25 @@
     /// For all that sessions and fetches hold in buffers.
     budget: Budget,
     /// For all that sessions and fetches hold in descriptors.
-    ledger: Ledger,
+    ledger: DescriptorBudget,
     /// A look at how many sessions have asked hangs on the wheel.
     trimming: bool,
-    sessions: Slots<Session>,
+    sessions: Slab<Session>,
     /// Sessions whose req has been answered: the answer is to be written, and the next message may be there.
     answered: VecDeque<u32>,
-    fetches: Slots<Fetch>,
+    fetches: Slab<Fetch>,
     pool: Pool,
-    calls: Slots<Call>,
+    calls: Slab<Call>,
     rev: u64,
     /// When discovery last said something, be it that nothing has changed.
     confirmed: Option<Nanos>,
     /// The next call to discovery waits, for the decisions or, where lists are pushed, on the wheel.
     backing_off: bool,
     /// Only where lists are pushed: discovery has spoken since the start, and how many calls in a row failed.
-    informed: bool,
+    list_synced: bool,
     failed_calls: u32,
     fleet: Fleet,
-    reqs: Reqs<client::Call>,
+    reqs: RequestTable<client::Call>,
 }
 
 impl Node {
@@ -172,10 +172,10 @@
         // Bodies are on the budget; what a connection holds beside them is a head at most, of which these fit
         // a third of the memory.
         let sockets = sockets.min(config.memory_mb.saturating_mul(16).max(64));
-        let ledger = Ledger::new(sockets);
+        let ledger = DescriptorBudget::new(sockets);
         let (most_sessions, most_fetches) = (ledger.most(Purpose::Session), ledger.most(Purpose::Fetch));
         let most_reqs = most_sessions.min(deployment.most_held).max(1);
-        let mut reqs = Reqs::new(settings, config.seed, most_reqs, now).map_err(|e| e.to_string())?;
+        let mut reqs = RequestTable::new(settings, config.seed, most_reqs, now).map_err(|e| e.to_string())?;
         let trace = Trace::new(config.trace, clock.unix_zero);
         reqs.trace = trace;
         let wrong = |what: &'static str| move |e: Errno| format!("{what}: {e}");
@@ -191,7 +191,7 @@
             net::patiently(add).map_err(wrong("epoll"))?;
         }
         let mut node = Node {
-            wheel: Wheel::new(tick, now),
+            wheel: TimerWheel::new(tick, now),
             now,
             looked: now,
             last_look: now,
@@ -213,15 +213,15 @@
             budget: Budget::new(config.memory_mb.max(4).saturating_mul(1 << 18)),
             ledger,
             trimming: false,
-            sessions: Slots::new(most_sessions),
+            sessions: Slab::new(most_sessions),
             answered: VecDeque::new(),
-            fetches: Slots::new(most_fetches),
+            fetches: Slab::new(most_fetches),
             pool: Pool::default(),
-            calls: Slots::new(4),
+            calls: Slab::new(4),
             rev: config.known.rev,
             confirmed: None,
             backing_off: false,
-            informed: deployment.settings.ask_list,
+            list_synced: deployment.settings.ask_list,
             failed_calls: 0,
             fleet: Fleet::new(deployment.zones.clone(), deployment.kinds.clone()),
             reqs,
@@ -232,9 +232,9 @@
             "start",
             format_args!("name={} listen={} sockets={sockets}", config.name, listens),
         );
-        node.take_list(&config.known, Age::Cached);
+        node.take_list(&config.known, Freshness::Cached);
         node.follow_pushes();
-        node.settle();
+        node.flush_pending();
         Ok(node)
     }
 
@@ -248,15 +248,15 @@
             for event in events.iter().filter(|event| forbids(event)) {
                 self.on_socket(event);
             }
-            self.settle();
+            self.flush_pending();
             for event in events.iter().filter(|event| !forbids(event)) {
                 self.on_socket(event);
-                self.settle();
+                self.flush_pending();
             }
             self.take_signals();
-            for due in self.wheel.fire(self.now) {
+            for due in self.wheel.expire(self.now) {
                 self.on_due(due);
-                self.settle();
+                self.flush_pending();
             }
         }
         let walks = self.reqs.full_walks();
@@ -265,9 +265,9 @@
         Ok(())
     }
 
-    /// Waits until a socket has an event or a deadline is due. Gives all that is ready in one look: a deadline
-    /// must not fire, and nothing must be sent, while an answer, a client's leave or a drain still waits for
-    /// the next one, as after a stall. For the same reason a look that is old by now is made anew.
+    /// Waits until a socket has an event or a deadline is due. Gives all that is ready in one look: a
+    /// deadline must not fire, and nothing must be sent, while an answer, a client's leave or a drain still
+    /// waits for the next one, as after a stall. For the same reason a look that is old by now is made anew.
     fn wait_for_events(&mut self, events: &mut Vec<epoll::Event>) -> Result<(), String> {
         self.looked = self.last_look;
         let mut old_looks = 0;
@@ -352,14 +352,14 @@
         if self.signals[RELOAD as usize].take() {
             self.reload();
         }
-        self.settle();
+        self.flush_pending();
     }
 
     fn on_due(&mut self, due: Due) {
         match due {
             Due::Session(number) => self.session_due(number),
             Due::NextMessage(number) => self.read_session(number),
-            Due::Req(req) => {
+            Due::Request(req) => {
                 if self.reqs.expire(self.now, req) {
                     self.log.line(self.now, "last-resort", format_args!("req={req}"));
                 }
@@ -380,34 +380,34 @@
             Due::EndDrain => self.end_drain(),
             Due::Quit => self.quit(),
             Due::Watch => self.watch_pushes(),
-            Due::GoBlind => self.go_blind(),
+            Due::ServeStaleList => self.serve_stale_list(),
         }
     }
 
-    /// Does all that follows from an event: orders first, then answers go out.
-    fn settle(&mut self) {
+    /// Does all that follows from an event: commands first, then answers go out.
+    fn flush_pending(&mut self) {
         loop {
-            self.carry_out();
+            self.execute_commands();
             let Some(number) = self.answered.pop_front() else { return };
-            self.settle_session(number);
+            self.flush_session(number);
         }
     }
 
     /// Does what has been decided, in order. Doing it may lead to more.
-    fn carry_out(&mut self) {
+    fn execute_commands(&mut self) {
         while let Some(denial) = self.reqs.denials.pop() {
             self.count_denial(denial, format_args!("at=start"));
         }
         while let Some(violation) = self.reqs.violations.pop() {
             self.violated(violation, format_args!("at=answer"));
         }
-        while let Some(order) = self.reqs.orders.pop_front() {
-            match order {
-                Order::Fetch { req, attempt, backend, until, write_by } => {
-                    self.start_fetch(backend, Job::Req { req, attempt }, until, write_by);
+        while let Some(command) = self.reqs.commands.pop_front() {
+            match command {
+                Command::Fetch { req, attempt, backend, until, write_by } => {
+                    self.start_fetch(backend, Job::Request { req, attempt }, until, write_by);
                 }
-                Order::Stop { req, attempt } => {
-                    let job = Some(Job::Req { req, attempt });
+                Command::Stop { req, attempt } => {
+                    let job = Some(Job::Request { req, attempt });
                     let found =
                         self.fetches.iter().find(|(_, fetch)| fetch.job == job).map(|(number, _)| number);
                     if let Some(number) = found {
@@ -415,16 +415,16 @@
                     }
                     self.drop_postponed(req);
                 }
-                Order::Answer { owner, answer } => self.give_synthetic(owner, answer),
-                Order::CloseIdle(backend) => self.close_idle(backend),
-                Order::Probe(backend) => {
+                Command::Answer { owner, answer } => self.send_local_reply(owner, answer),
+                Command::CloseIdle(backend) => self.close_idle(backend),
+                Command::Probe(backend) => {
                     let until = self.now + PROBE_PATIENCE;
                     self.start_fetch(backend, Job::Probe { backend, sent: self.now }, until, until);
                 }
-                Order::Timer { at, timer } => self.wheel.hang(at, Due::Timer(timer)),
-                Order::Watch(on) => self.watch(on),
-                Order::FetchList => self.call(false),
-                Order::Log(line) => self.log.line(self.now, "decision", line),
+                Command::Timer { at, timer } => self.wheel.schedule(at, Due::Timer(timer)),
+                Command::Watch(on) => self.watch(on),
+                Command::FetchList => self.call(false),
+                Command::Log(line) => self.log.line(self.now, "decision", line),
             }
         }
     }
--- a/node/src/node/end.rs
+++ b/node/src/node/end.rs
@@ -29,9 +29,9 @@
         let longest = self.deployment.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         let ends = self.now + longest.min(LONGEST_DRAIN) + DRAIN_MORE;
         self.ends = Some(ends);
-        self.wheel.hang((self.now + ACCEPT_ON).min(ends - LAST_TAKEN), Due::StopAccepting);
-        self.wheel.hang(ends, Due::EndDrain);
-        self.wheel.hang(ends + FLUSH, Due::Quit);
+        self.wheel.schedule((self.now + ACCEPT_ON).min(ends - LAST_TAKEN), Due::StopAccepting);
+        self.wheel.schedule(ends, Due::EndDrain);
+        self.wheel.schedule(ends + FLUSH, Due::Quit);
     }
 
     /// Takes whoever still waits, then nobody; sessions without a req end.
@@ -42,12 +42,12 @@
         let ending = self.ends.is_some_and(|ends| self.now >= ends);
         if !self.accepting && !ending {
             self.log.line(self.now, "late-clients", "wait for a session to end");
-            return self.wheel.hang(self.now + ACCEPT_PAUSE, Due::StopAccepting);
+            return self.wheel.schedule(self.now + ACCEPT_PAUSE, Due::StopAccepting);
         }
         self.listener = None;
         if !self.close_idle_sessions() && !ending {
             // What could not be read for a moment is looked at again.
-            self.wheel.hang(self.now + MIN_RETRY, Due::StopAccepting);
+            self.wheel.schedule(self.now + MIN_RETRY, Due::StopAccepting);
         }
     }
 
@@ -69,9 +69,9 @@
     /// then end by themselves once their answer is written.
     pub(super) fn end_drain(&mut self) {
         for req in self.reqs.unanswered() {
-            self.reqs.give_back(self.now, req);
+            self.reqs.fail_on_shutdown(self.now, req);
         }
-        self.settle();
+        self.flush_pending();
         self.stop_accepting();
         self.log.line(self.now, "last-answers", format_args!("sessions={}", self.sessions.len()));
     }
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -34,7 +34,7 @@
 impl Node {
     pub(super) fn start_fetch(&mut self, backend: BackendId, job: Job, until: Nanos, write_by: Nanos) {
         // Its client may have left between the decision and here.
-        if let Job::Req { req, .. } = job
+        if let Job::Request { req, .. } = job
             && !self.reqs.waits(req)
         {
             return self.report(job, Outcome::Moot, None);
@@ -69,14 +69,14 @@
     fn postpone(&mut self, dial: PostponedDial) {
         self.counters.add("dial", "postponed");
         if self.postponed.is_empty() {
-            self.wheel.hang(self.now + MIN_RETRY, Due::Redial);
+            self.wheel.schedule(self.now + MIN_RETRY, Due::Redial);
         }
         self.postponed.push(dial);
     }
 
     pub(super) fn redial(&mut self) {
         for dial in std::mem::take(&mut self.postponed) {
-            let gone = matches!(dial.job, Job::Req { req, .. } if !self.reqs.waits(req));
+            let gone = matches!(dial.job, Job::Request { req, .. } if !self.reqs.waits(req));
             if gone || self.now >= dial.give_up {
                 self.report(dial.job, Outcome::Moot, None);
                 continue;
@@ -114,8 +114,8 @@
         let Some(job) = fetch.job else { return };
         let (until, write_by, backend) = (fetch.until, fetch.write_by, fetch.backend);
         let facts = WriteFacts {
-            answered: matches!(job, Job::Req { req, .. } if !self.reqs.waits(req)),
-            client_gone: matches!(job, Job::Req { req, .. } if self.client_is_gone(req, now)),
+            answered: matches!(job, Job::Request { req, .. } if !self.reqs.waits(req)),
+            client_gone: matches!(job, Job::Request { req, .. } if self.client_is_gone(req, now)),
             backend_ready: self.fleet.endpoint(backend).is_some(),
             until,
             write_by,
@@ -126,7 +126,7 @@
         };
         let bytes = match job {
             Job::Probe { .. } => http1::write("GET /ping HTTP/1.1", [("host", "kitefork")], None),
-            Job::Req { req, .. } => match self.reqs.cargo(req) {
+            Job::Request { req, .. } => match self.reqs.cargo(req) {
                 Some(call) => call.bytes(permit.told_ms()),
                 None => return,
             },
@@ -228,7 +228,7 @@
                 let outcome = fetch.broken(Outcome::Reset);
                 return self.end_fetch(number, outcome);
             }
-            self.wheel.hang(self.now + MIN_RETRY, Due::ResumeFetch(number));
+            self.wheel.schedule(self.now + MIN_RETRY, Due::ResumeFetch(number));
         }
     }
 
@@ -238,7 +238,7 @@
         let Some(fetch) = self.fetches.get_mut(number) else { return };
         // Where this fails too, events come early and find the same.
         let _ = fetch.registration.set(&self.epoll, &fetch.socket, token(FETCH, number), EventFlags::empty());
-        self.wheel.hang(self.now + MIN_RETRY, Due::ResumeFetch(number));
+        self.wheel.schedule(self.now + MIN_RETRY, Due::ResumeFetch(number));
     }
 
     /// Whether another connection to a backend may be held; what can best be missed closes for it.
@@ -247,14 +247,14 @@
             return true;
         }
         let lends = self.ledger.lends(Purpose::Session, self.sessions.len());
-        let session = if lends { self.spare_session() } else { None };
+        let session = if lends { self.eviction_candidate() } else { None };
         if let Some((.., number)) = session.filter(|(class, ..)| *class <= HARDLY_MISSED) {
-            return self.spare(number);
+            return self.evict(number);
         }
-        if let Some(idle) = self.pool.spare() {
+        if let Some(idle) = self.pool.evict() {
             return self.fetches.remove(idle).is_some();
         }
-        session.is_some_and(|(.., number)| self.spare(number))
+        session.is_some_and(|(.., number)| self.evict(number))
     }
 
     /// Moves a fetch on as far as its socket lets it.
@@ -331,7 +331,7 @@
 
     pub(super) fn report(&mut self, job: Job, outcome: Outcome, answer: Option<(&http1::Head, Body)>) {
         match job {
-            Job::Req { req, attempt } => {
+            Job::Request { req, attempt } => {
                 let owner = self.reqs.ended(self.now, req, attempt, outcome);
                 if let (Some(owner), Some((head, body))) = (owner, answer) {
                     let headers: Vec<(&str, &str)> = head.end_to_end().collect();
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -7,7 +7,7 @@
 use super::{BOTH, CALL, Due, MIN_RETRY, Node, READ, token};
 use crate::clock::{MS, SECOND};
 use crate::config;
-use crate::discovery::{self, Age, Call, News, Update};
+use crate::discovery::{self, Call, Freshness, News, Update};
 use crate::errno::{self, ErrorClass};
 use crate::fetch::{self, Fetch};
 use crate::net;
@@ -70,13 +70,13 @@
     /// node has heard it, so no client is taken before it has spoken.
     pub(super) fn follow_pushes(&mut self) {
         if !self.deployment.settings.ask_list {
-            self.wheel.hang(self.now + BLIND, Due::GoBlind);
+            self.wheel.schedule(self.now + BLIND, Due::ServeStaleList);
             self.call(true);
         }
     }
 
-    pub(super) fn go_blind(&mut self) {
-        if !std::mem::replace(&mut self.informed, true) {
+    pub(super) fn serve_stale_list(&mut self) {
+        if !std::mem::replace(&mut self.list_synced, true) {
             self.log.line(
                 self.now,
                 "blind",
@@ -116,7 +116,7 @@
             // Of this machine, for a moment: discovery has not failed, and its backoff would be too long.
             _ => {
                 self.log.line(self.now, "call-postponed", error);
-                self.wheel.hang(self.now + CALL_RETRY, Due::Recall { watch });
+                self.wheel.schedule(self.now + CALL_RETRY, Due::Recall { watch });
             }
         }
     }
@@ -133,7 +133,7 @@
     fn retry_call(&mut self, number: u32) {
         let Some(call) = self.calls.get_mut(number) else { return };
         let _ = call.registration.set(&self.epoll, &call.socket, token(CALL, number), EventFlags::empty());
-        self.wheel.hang(self.now + MIN_RETRY, Due::ResumeCall(number));
+        self.wheel.schedule(self.now + MIN_RETRY, Due::ResumeCall(number));
     }
 
     fn call_failed(&mut self, why: impl std::fmt::Display) {
@@ -154,7 +154,7 @@
                 n => self.part_of_grace(4, MOST_WAIT).min(SHORTEST << n.min(8)),
             };
             self.failed_calls += 1;
-            self.wheel.hang(self.now + wait, Due::Watch);
+            self.wheel.schedule(self.now + wait, Due::Watch);
         }
     }
 
@@ -171,7 +171,7 @@
         }
         let wanted = if call.outbox.is_empty() { READ } else { BOTH };
         if call.registration.set(&self.epoll, &call.socket, token(CALL, number), wanted).is_err() {
-            self.wheel.hang(self.now + MIN_RETRY, Due::ResumeCall(number));
+            self.wheel.schedule(self.now + MIN_RETRY, Due::ResumeCall(number));
         }
         let news = call.read(self.now);
         let later = news.later;
@@ -185,7 +185,7 @@
     }
 
     pub(super) fn take_news(&mut self, number: u32, news: News) {
-        self.informed |= news.spoke;
+        self.list_synced |= news.spoke;
         if news.over.is_some()
             && let Some(call) = self.calls.remove(number)
             && self.now.saturating_sub(call.made) > STEADY
@@ -214,14 +214,14 @@
     }
 
     pub(super) fn take_update(&mut self, update: &Update) {
-        let age = if update.rev < self.rev { Age::Older } else { Age::Current };
-        if age == Age::Older {
+        let age = if update.rev < self.rev { Freshness::Older } else { Freshness::Current };
+        if age == Freshness::Older {
             self.log.line(self.now, "older-list", format_args!("rev={} known={}", update.rev, self.rev));
         }
         self.take_list(update, age);
     }
 
-    pub(super) fn take_list(&mut self, update: &Update, age: Age) {
+    pub(super) fn take_list(&mut self, update: &Update, age: Freshness) {
         self.rev = update.rev;
         let heard = self.clock.heard(self.now, self.confirmed);
         let (event, ends) = self.fleet.apply(&heard, update, age);
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -12,7 +12,7 @@
 use crate::errno::{self, ErrorClass};
 use crate::ledger::Purpose;
 use crate::net;
-use crate::req::{Ask, Barred, Synthetic};
+use crate::req::{LocalReply, OpenError, RequestSpec};
 use crate::ring::Write;
 use crate::rules::{self, ClosePermit, Denial, Violation};
 
@@ -58,8 +58,8 @@
                         self.log.line(self.now, "accept-failed", error);
                         // Out of descriptors: an idle session gives up its own. No spin on what can't be
                         // taken.
-                        if let Some((.., number)) = self.spare_session() {
-                            self.spare(number);
+                        if let Some((.., number)) = self.eviction_candidate() {
+                            self.evict(number);
                         }
                         return self.pause_accepting();
                     }
@@ -72,13 +72,13 @@
 
     pub(super) fn pause_accepting(&mut self) {
         self.set_accepting(false);
-        self.wheel.hang(self.now + ACCEPT_PAUSE, Due::Accept);
+        self.wheel.schedule(self.now + ACCEPT_PAUSE, Due::Accept);
     }
 
     /// The machine lacks something for a moment, and clients wait: soon at first, then ever more seldom.
     fn retry_accept_later(&mut self) {
         self.set_accepting(false);
-        self.wheel.hang(self.now + self.accept_retry, Due::Accept);
+        self.wheel.schedule(self.now + self.accept_retry, Due::Accept);
         self.accept_retry = (self.accept_retry * 2).min(ACCEPT_PAUSE);
     }
 
@@ -104,7 +104,7 @@
             let registered = epoll::modify(&self.epoll, listener, token(LISTENER, 0), flags);
             // Without its events no client would ever be taken again.
             if on && registered.is_err() {
-                self.wheel.hang(self.now + MIN_RETRY, Due::Accept);
+                self.wheel.schedule(self.now + MIN_RETRY, Due::Accept);
             }
         }
     }
@@ -120,16 +120,16 @@
         }
         // One that turns out to have asked is spared no more: each turn finds another, or closes one.
         for _ in 0..=self.sessions.len() {
-            let spare = self.spare_session();
+            let spare = self.eviction_candidate();
             let hardly_missed = spare.is_some_and(|(class, ..)| class <= HARDLY_MISSED);
             if !hardly_missed
                 && self.ledger.lends(Purpose::Fetch, self.fetches.len())
-                && let Some(idle) = self.pool.spare()
+                && let Some(idle) = self.pool.evict()
             {
                 return self.fetches.remove(idle).is_some();
             }
             let Some((.., number)) = spare else { return false };
-            if self.spare(number) {
+            if self.evict(number) {
                 return true;
             }
         }
@@ -138,7 +138,7 @@
 
     /// Closes a session that can be spared, unless a request has come on it that nobody has read: to its
     /// client that close would be one without an answer. Tells whether it has closed.
-    pub(super) fn spare(&mut self, number: u32) -> bool {
+    pub(super) fn evict(&mut self, number: u32) -> bool {
         self.close_if_allowed(number, CloseReason::Evicted)
     }
 
@@ -157,9 +157,9 @@
     }
 
     /// The session that can be spared most: its class, since when, its number.
-    pub(super) fn spare_session(&self) -> Option<(u8, Nanos, u32)> {
+    pub(super) fn eviction_candidate(&self) -> Option<(u8, Nanos, u32)> {
         let spare = |(number, session): (u32, &Session)| {
-            session.spare(self.now).map(|(class, since)| (class, since, number))
+            session.eviction_rank(self.now).map(|(class, since)| (class, since, number))
         };
         self.sessions.iter().filter_map(spare).min()
     }
@@ -169,28 +169,28 @@
     pub(super) fn trim_sessions(&mut self) {
         self.trimming = false;
         let asked = self.sessions.iter().filter(|(_, session)| session.has_asked()).count();
-        let over = asked.saturating_sub(self.ledger.most_asked());
+        let over = asked.saturating_sub(self.ledger.most_active_sessions());
         let mut spare: Vec<(u8, Nanos, u32)> = self
             .sessions
             .iter()
             .filter(|(_, session)| session.has_asked())
             .filter_map(|(number, session)| {
-                session.spare(self.now).map(|(class, since)| (class, since, number))
+                session.eviction_rank(self.now).map(|(class, since)| (class, since, number))
             })
             .filter(|(class, ..)| *class <= HARDLY_MISSED)
             .collect();
         spare.sort_unstable();
         for (.., number) in spare.into_iter().take(over) {
-            self.spare(number);
+            self.evict(number);
         }
         self.watch_sessions();
     }
 
     /// While there may be too many that have asked, they are looked at now and then.
     fn watch_sessions(&mut self) {
-        if !self.trimming && self.sessions.len() > self.ledger.most_asked() {
+        if !self.trimming && self.sessions.len() > self.ledger.most_active_sessions() {
             self.trimming = true;
-            self.wheel.hang(self.now + client::TRIM, Due::TrimSessions);
+            self.wheel.schedule(self.now + client::TRIM, Due::TrimSessions);
         }
     }
 
@@ -216,7 +216,7 @@
             self.reqs.gone(self.now, req);
             self.call_off(req);
         }
-        session.part();
+        session.close_gracefully();
         true
     }
 
@@ -241,7 +241,7 @@
         let Some(session) = self.sessions.get_mut(number) else { return };
         session.left |= flags.intersects(LEFT);
         // With a full inbox the end can't be read, and would be told again without a pause.
-        if session.left && session.is_stuffed() {
+        if session.left && session.is_input_full() {
             self.client_left(number);
         } else {
             self.read_session(number);
@@ -271,7 +271,7 @@
                 match client::route(head, body, &self.deployment, waited) {
                     // The client may have gone, so it must not run. It may also have ended its sending alone,
                     // and then it waits for an answer.
-                    Route::Req(..) if left => {
+                    Route::Request(..) if left => {
                         self.trace.line(self.now, format_args!("left session={number}"));
                         self.count_denial(Denial::ClientGone, format_args!("session={number}"));
                         self.reply(number, 503, &[], LEFT_UNTRIED, true);
@@ -282,11 +282,11 @@
                         let allow: &[(&str, &str)] = if status == 405 { &[("allow", why)] } else { &[] };
                         self.reply(number, status, allow, format!("{why}\n").as_bytes(), false);
                     }
-                    Route::Req(ask, call) => self.open_req(number, ask, call),
+                    Route::Request(ask, call) => self.open_req(number, ask, call),
                 }
             }
         }
-        self.settle_session(number);
+        self.flush_session(number);
     }
 
     /// The client has ended its sending. A close looks the same, so its request is not worked on any more;
@@ -302,13 +302,13 @@
             self.call_off(req);
             let (status, body) = if untried { (503, LEFT_UNTRIED) } else { (502, LEFT_TRIED) };
             self.reply(number, status, &[], body, true);
-            return self.settle_session(number);
+            return self.flush_session(number);
         }
         if session.outbox.is_empty() {
             self.drop_session(number, CloseReason::ClientGone);
         } else {
             // An answer is on its way to one that still reads.
-            self.settle_session(number);
+            self.flush_session(number);
         }
     }
 
@@ -320,7 +320,7 @@
     pub(super) fn reply_health(&mut self, number: u32) {
         let (status, word) = if self.is_draining() {
             (503, "ending\n")
-        } else if !self.informed {
+        } else if !self.list_synced {
             (503, "discovery has not spoken\n")
         } else if !self.fleet.has_ready() {
             (503, "no backend is ready\n")
@@ -330,7 +330,7 @@
         self.reply(number, status, &[], word.as_bytes(), false);
     }
 
-    pub(super) fn open_req(&mut self, number: u32, mut ask: Ask, call: client::Call) {
+    pub(super) fn open_req(&mut self, number: u32, mut ask: RequestSpec, call: client::Call) {
         if let Some(ends) = self.ends {
             if self.now >= ends {
                 return self.reply(number, 503, &[], b"the node ends\n", true);
@@ -340,11 +340,11 @@
         }
         let (req, last_resort) = match self.reqs.open(self.now, number, ask, call) {
             Ok(opened) => opened,
-            Err(Barred::Full) => {
+            Err(OpenError::TableFull) => {
                 self.log.line(self.now, "reqs-full", "refused");
                 return self.reply(number, 503, &[], b"too many requests are held\n", false);
             }
-            Err(Barred::Twin) => {
+            Err(OpenError::DuplicateId) => {
                 self.log.line(self.now, "bad-request", "status=409 why=its X-Txn is open");
                 return self.reply(number, 409, &[], b"a request with this X-Txn is open\n", false);
             }
@@ -358,7 +358,7 @@
         {
             self.trace.line(self.now, format_args!("took id={req} key={}", call.key()));
         }
-        self.wheel.hang(last_resort, Due::Req(req));
+        self.wheel.schedule(last_resort, Due::Request(req));
     }
 
     /// Gives a session an answer of the node's own.
@@ -377,13 +377,13 @@
         }
     }
 
-    pub(super) fn give_synthetic(&mut self, number: u32, answer: Synthetic) {
+    pub(super) fn send_local_reply(&mut self, number: u32, answer: LocalReply) {
         let (status, advice) = client::status_and_advice(answer);
         let advice = advice.as_deref().map(|seconds| ("retry-after", seconds));
         let body = match answer {
-            Synthetic::Refused { .. } => "refused: trying again is harmless\n",
-            Synthetic::Failed => "failed\n",
-            Synthetic::TimedOut => "no answer in time\n",
+            LocalReply::Refused { .. } => "refused: trying again is harmless\n",
+            LocalReply::Failed => "failed\n",
+            LocalReply::TimedOut => "no answer in time\n",
         };
         self.reply(number, status, advice.as_slice(), body.as_bytes(), false);
         self.answered.push_back(number);
@@ -396,11 +396,11 @@
         // Where this fails too, events come early and find the same.
         let _ = session.watch(&self.epoll, token(SESSION, number), EventFlags::empty(), self.now);
         session.deadline.set(session.time_limit(), &mut self.wheel, Due::Session(number));
-        self.wheel.hang(self.now + MIN_RETRY, Due::NextMessage(number));
+        self.wheel.schedule(self.now + MIN_RETRY, Due::NextMessage(number));
     }
 
     /// Writes what there is to write, and looks for the right events and deadline.
-    pub(super) fn settle_session(&mut self, number: u32) {
+    pub(super) fn flush_session(&mut self, number: u32) {
         let Some(session) = self.sessions.get_mut(number) else { return };
         let written = session.flush(self.now);
         if written == Write::Broken {
@@ -411,7 +411,7 @@
             let reason = if answered { CloseReason::Answered } else { CloseReason::ClientGone };
             return self.drop_session(number, reason);
         }
-        let wanted = match (session.outbox.is_empty(), session.is_stuffed()) {
+        let wanted = match (session.outbox.is_empty(), session.is_input_full()) {
             // Its end is known and would be told again without a pause.
             _ if session.left => EventFlags::OUT,
             (true, false) => READ,
@@ -427,11 +427,11 @@
             if errno::of_register(error) != ErrorClass::RetryLater {
                 return self.drop_session(number, CloseReason::Broken);
             }
-            self.wheel.hang(self.now + MIN_RETRY, Due::NextMessage(number));
+            self.wheel.schedule(self.now + MIN_RETRY, Due::NextMessage(number));
         }
         session.deadline.set(session.time_limit(), &mut self.wheel, Due::Session(number));
         if session.has_next() {
-            self.wheel.hang(self.now, Due::NextMessage(number));
+            self.wheel.schedule(self.now, Due::NextMessage(number));
         }
     }
 }
--- a/node/src/req.rs
+++ b/node/src/req.rs
@@ -1,5 +1,5 @@
 //! The life of a req, and the bridge to the decisions: what happens to a req becomes an `Event`, what is
-//! decided becomes an `Order` to whoever holds the connections. Nothing here knows how a req or its answer
+//! decided becomes an `Command` to whoever holds the connections. Nothing here knows how a req or its answer
 //! looks on a wire: `C`, what is carried to the backend, belongs to the codec.
 
 use std::collections::{HashSet, VecDeque};
@@ -11,11 +11,11 @@
 
 use crate::log::Trace;
 use crate::rules::{self, Denial, History, StartFacts, Violation};
-use crate::slots::Slots;
+use crate::slots::Slab;
 
 /// A req as the client put it.
 #[derive(Debug, Clone)]
-pub struct Ask {
+pub struct RequestSpec {
     /// The client's own name for it.
     pub txn: Box<str>,
     pub class: u16,
@@ -28,7 +28,7 @@
 
 /// A final answer that no backend made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Synthetic {
+pub enum LocalReply {
     /// Trying again is harmless.
     Refused {
         retry_after: Nanos,
@@ -39,16 +39,16 @@
 
 /// Why a req is not taken up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Barred {
+pub enum OpenError {
     /// No more are held.
-    Full,
+    TableFull,
     /// One of this name is open.
-    Twin,
+    DuplicateId,
 }
 
 /// What is to be done on the connections.
 #[derive(Debug, PartialEq)]
-pub enum Order {
+pub enum Command {
     /// Start a fetch. It must be abandoned at `until`, and be written whole by `write_by` or not at all.
     Fetch {
         req: u32,
@@ -65,7 +65,7 @@
     /// Give the client session `owner` its final answer.
     Answer {
         owner: u32,
-        answer: Synthetic,
+        answer: LocalReply,
     },
     CloseIdle(BackendId),
     Probe(BackendId),
@@ -84,7 +84,7 @@
     outcome: Option<Outcome>,
 }
 
-struct Req<C> {
+struct OpenRequest<C> {
     owner: u32,
     txn: Box<str>,
     cargo: C,
@@ -96,7 +96,7 @@
     last_outcome: Option<Outcome>,
 }
 
-impl<C> Req<C> {
+impl<C> OpenRequest<C> {
     fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.outcome.is_none()).count()
     }
@@ -131,9 +131,9 @@
     }
 }
 
-pub struct Reqs<C> {
+pub struct RequestTable<C> {
     balancer: Balancer,
-    table: Slots<Req<C>>,
+    table: Slab<OpenRequest<C>>,
     /// Names of the reqs in the table.
     names: HashSet<Box<str>>,
     effects: Vec<Effect>,
@@ -146,13 +146,18 @@
     pub violations: Vec<Violation>,
     pub trace: Trace,
     /// What is to be done, in the order in which it was decided.
-    pub orders: VecDeque<Order>,
+    pub commands: VecDeque<Command>,
 }
 
-impl<C> Reqs<C> {
-    pub fn new(settings: Settings, seed: u64, most: usize, now: Nanos) -> Result<Reqs<C>, SettingsError> {
-        Ok(Reqs {
-            table: Slots::new(most),
+impl<C> RequestTable<C> {
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        most: usize,
+        now: Nanos,
+    ) -> Result<RequestTable<C>, SettingsError> {
+        Ok(RequestTable {
+            table: Slab::new(most),
             names: HashSet::new(),
             effects: settings.classes.iter().map(|class| class.effect).collect(),
             max_attempts: settings.limits.max_attempts as usize,
@@ -162,17 +167,23 @@
             denials: Vec::new(),
             violations: Vec::new(),
             trace: Trace::default(),
-            orders: VecDeque::new(),
+            commands: VecDeque::new(),
         })
     }
 
     /// Takes up a req; gives its number and the time of its last resort. One of the same name as another that
     /// is open or has an attempt out is not: its attempt would be a second copy of the other's.
-    pub fn open(&mut self, now: Nanos, owner: u32, ask: Ask, cargo: C) -> Result<(u32, Nanos), Barred> {
+    pub fn open(
+        &mut self,
+        now: Nanos,
+        owner: u32,
+        ask: RequestSpec,
+        cargo: C,
+    ) -> Result<(u32, Nanos), OpenError> {
         if self.names.contains(&ask.txn) {
-            return Err(Barred::Twin);
+            return Err(OpenError::DuplicateId);
         }
-        let req = Req {
+        let req = OpenRequest {
             owner,
             txn: ask.txn.clone(),
             cargo,
@@ -182,7 +193,7 @@
             over: false,
             last_outcome: None,
         };
-        let id = self.table.insert(req).ok_or(Barred::Full)?;
+        let id = self.table.insert(req).ok_or(OpenError::TableFull)?;
         self.trace.line(now, format_args!("req id={id} txn={} patience={}", ask.txn, ask.patience / 1_000));
         self.names.insert(ask.txn);
         let request = Request {
@@ -264,17 +275,17 @@
     /// The last resort: a req without an answer a little after its client's patience fails here, whatever the
     /// decisions think. Guards against a req that is forgotten anywhere.
     pub fn expire(&mut self, now: Nanos, id: u32) -> bool {
-        self.cut_short(now, id, Synthetic::TimedOut)
+        self.force_reply(now, id, LocalReply::TimedOut)
     }
 
     /// The node ends before the req has its answer. What never ran is refused, so that the client may go to
     /// another node at once; what may have run has failed.
-    pub fn give_back(&mut self, now: Nanos, id: u32) {
-        self.cut_short(now, id, Synthetic::Refused { retry_after: 0 });
+    pub fn fail_on_shutdown(&mut self, now: Nanos, id: u32) {
+        self.force_reply(now, id, LocalReply::Refused { retry_after: 0 });
     }
 
     /// Answers a req over the head of the decisions; tells whether it still waited.
-    fn cut_short(&mut self, now: Nanos, id: u32, answer: Synthetic) -> bool {
+    fn force_reply(&mut self, now: Nanos, id: u32, answer: LocalReply) -> bool {
         let waits = self.waits(id);
         if waits {
             self.answer(now, id, answer);
@@ -289,7 +300,7 @@
         self.table.iter().filter(|(_, req)| !req.over).map(|(id, _)| id).collect()
     }
 
-    /// Tells the decisions what happened and turns what they decide into orders.
+    /// Tells the decisions what happened and turns what they decide into commands.
     pub fn feed(&mut self, now: Nanos, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         self.balancer.handle(now, event, &mut actions);
@@ -300,25 +311,25 @@
                     moot.extend(self.send(now, request.0, backend, until));
                 }
                 Action::Refuse { request, retry_after } => {
-                    self.answer(now, request.0, Synthetic::Refused { retry_after });
+                    self.answer(now, request.0, LocalReply::Refused { retry_after });
                     self.forget(request.0);
                 }
                 Action::Fail { request } => {
-                    self.answer(now, request.0, Synthetic::Failed);
+                    self.answer(now, request.0, LocalReply::Failed);
                     self.forget(request.0);
                 }
                 Action::Cancel { request, attempt } => {
                     self.trace.line(now, format_args!("cancel id={} try={attempt}", request.0));
-                    self.orders.push_back(Order::Stop { req: request.0, attempt });
+                    self.commands.push_back(Command::Stop { req: request.0, attempt });
                 }
-                Action::SetTimer { at, timer } => self.orders.push_back(Order::Timer { at, timer }),
-                Action::Probe { backend } => self.orders.push_back(Order::Probe(backend)),
-                Action::CloseIdle { backend } => self.orders.push_back(Order::CloseIdle(backend)),
-                Action::Subscribe(on) => self.orders.push_back(Order::Watch(on)),
-                Action::FetchList => self.orders.push_back(Order::FetchList),
-                Action::Log(line) => self.orders.push_back(Order::Log(line)),
+                Action::SetTimer { at, timer } => self.commands.push_back(Command::Timer { at, timer }),
+                Action::Probe { backend } => self.commands.push_back(Command::Probe(backend)),
+                Action::CloseIdle { backend } => self.commands.push_back(Command::CloseIdle(backend)),
+                Action::Subscribe(on) => self.commands.push_back(Command::Watch(on)),
+                Action::FetchList => self.commands.push_back(Command::FetchList),
+                Action::Log(line) => self.commands.push_back(Command::Log(line)),
                 Action::Tell { .. } => {
-                    self.orders.push_back(Order::Log("a message to peers is not carried".into()));
+                    self.commands.push_back(Command::Log("a message to peers is not carried".into()));
                 }
             }
         }
@@ -351,26 +362,26 @@
             self.denials.push(denial);
             return Some((id, attempt));
         }
-        self.orders.push_back(Order::Fetch { req: id, attempt, backend, until, write_by });
+        self.commands.push_back(Command::Fetch { req: id, attempt, backend, until, write_by });
         None
     }
 
     /// Gives the final answer, once. A refusal promises that trying again is harmless; where that is not so
     /// it becomes a failure.
-    fn answer(&mut self, now: Nanos, id: u32, answer: Synthetic) {
+    fn answer(&mut self, now: Nanos, id: u32, answer: LocalReply) {
         let Some(req) = self.table.get_mut(id).filter(|req| !req.over) else { return };
         req.over = true;
         self.violations.extend(rules::check_answer(now, req.deadline).err());
         let answer = match answer {
-            Synthetic::Refused { .. } if !req.refusable() => Synthetic::Failed,
+            LocalReply::Refused { .. } if !req.refusable() => LocalReply::Failed,
             other => other,
         };
         let answer = match answer {
-            Synthetic::Failed if req.last_outcome == Some(Outcome::Timeout) => Synthetic::TimedOut,
+            LocalReply::Failed if req.last_outcome == Some(Outcome::Timeout) => LocalReply::TimedOut,
             other => other,
         };
         self.trace.line(now, format_args!("answer id={id} what={answer:?}"));
-        self.orders.push_back(Order::Answer { owner: req.owner, answer });
+        self.commands.push_back(Command::Answer { owner: req.owner, answer });
     }
 
     /// Ends a req that is over and has nothing out.
--- a/node/src/req_tests.rs
+++ b/node/src/req_tests.rs
@@ -6,30 +6,37 @@
 
 const NOW: Nanos = 100 * SECOND;
 
-fn reqs(effect: Effect) -> Reqs<()> {
+fn reqs(effect: Effect) -> RequestTable<()> {
     let class = Class { aim: SECOND, deadline: 5 * SECOND, worth: 1.0, effect, ..Class::default() };
     let settings = Settings { classes: vec![class], ..Settings::default() };
-    let mut reqs = Reqs::new(settings, 1, 4, NOW).unwrap();
+    let mut reqs = RequestTable::new(settings, 1, 4, NOW).unwrap();
     let state = BackendState::Ready;
     let backend = |id| Backend { id: BackendId(id), cell: CellId(0), state, ..Backend::default() };
     reqs.feed(NOW, Event::List { kind: ListKind::Full, backends: vec![backend(1), backend(2)] });
     reqs
 }
 
-fn open(reqs: &mut Reqs<()>) -> u32 {
+fn open(reqs: &mut RequestTable<()>) -> u32 {
     reqs.open(NOW, 77, ask(), ()).unwrap().0
 }
 
-fn ask() -> Ask {
-    Ask { txn: "a".into(), class: 0, tenant: 0, patience: SECOND, work_hint: None, client_retry: false }
+fn ask() -> RequestSpec {
+    RequestSpec {
+        txn: "a".into(),
+        class: 0,
+        tenant: 0,
+        patience: SECOND,
+        work_hint: None,
+        client_retry: false,
+    }
 }
 
-fn answers(reqs: &mut Reqs<()>) -> Vec<Synthetic> {
-    let answer = |order| match order {
-        Order::Answer { owner: 77, answer } => Some(answer),
+fn answers(reqs: &mut RequestTable<()>) -> Vec<LocalReply> {
+    let answer = |command| match command {
+        Command::Answer { owner: 77, answer } => Some(answer),
         _ => None,
     };
-    reqs.orders.drain(..).filter_map(answer).collect()
+    reqs.commands.drain(..).filter_map(answer).collect()
 }
 
 #[test]
@@ -46,9 +53,9 @@
 fn a_name_is_free_again_once_its_req_has_nothing_out() {
     let mut reqs = reqs(Effect::Safe);
     let id = open(&mut reqs);
-    assert_eq!(reqs.open(NOW, 78, ask(), ()), Err(Barred::Twin));
+    assert_eq!(reqs.open(NOW, 78, ask(), ()), Err(OpenError::DuplicateId));
     assert!(reqs.expire(NOW + SECOND, id));
-    assert_eq!(reqs.open(NOW + SECOND, 78, ask(), ()), Err(Barred::Twin));
+    assert_eq!(reqs.open(NOW + SECOND, 78, ask(), ()), Err(OpenError::DuplicateId));
     reqs.ended(NOW + SECOND, id, 0, Outcome::Cancelled);
     assert!(reqs.open(NOW + SECOND, 78, ask(), ()).is_ok());
 }
@@ -58,8 +65,8 @@
     let mut reqs = reqs(Effect::Safe);
     let id = open(&mut reqs);
     assert!(reqs.expire(NOW + SECOND, id));
-    assert!(reqs.orders.contains(&Order::Stop { req: id, attempt: 0 }));
-    assert_eq!(answers(&mut reqs), [Synthetic::TimedOut]);
+    assert!(reqs.commands.contains(&Command::Stop { req: id, attempt: 0 }));
+    assert_eq!(answers(&mut reqs), [LocalReply::TimedOut]);
     assert!(reqs.cargo(id).is_some());
     assert_eq!(reqs.ended(NOW + SECOND, id, 0, Outcome::Cancelled), None);
     assert!(reqs.cargo(id).is_none() && answers(&mut reqs).is_empty());
@@ -69,12 +76,12 @@
 fn a_node_that_ends_refuses_what_never_ran_and_fails_what_may_have() {
     let keyed = Effect::Keyed { group: Group::Cell, window: SECOND };
     for (outcome, wanted) in
-        [(Some(Outcome::ConnectFailed), Synthetic::Refused { retry_after: 0 }), (None, Synthetic::Failed)]
+        [(Some(Outcome::ConnectFailed), LocalReply::Refused { retry_after: 0 }), (None, LocalReply::Failed)]
     {
         let mut reqs = reqs(keyed);
         let id = open(&mut reqs);
         reqs.table.get_mut(id).unwrap().attempts[0].outcome = outcome;
-        reqs.give_back(NOW + MS, id);
+        reqs.fail_on_shutdown(NOW + MS, id);
         assert_eq!(answers(&mut reqs), [wanted]);
     }
 }
@@ -82,14 +89,14 @@
 #[test]
 fn no_refusal_of_what_may_have_run() {
     for (effect, outcome, wanted) in [
-        (Effect::Unsafe, Outcome::Reset, Synthetic::Failed),
-        (Effect::Unsafe, Outcome::Timeout, Synthetic::TimedOut),
-        (Effect::Unsafe, Outcome::Full, Synthetic::Refused { retry_after: 0 }),
-        (Effect::Keyed { group: Group::Cell, window: 1 }, Outcome::Error, Synthetic::Failed),
+        (Effect::Unsafe, Outcome::Reset, LocalReply::Failed),
+        (Effect::Unsafe, Outcome::Timeout, LocalReply::TimedOut),
+        (Effect::Unsafe, Outcome::Full, LocalReply::Refused { retry_after: 0 }),
+        (Effect::Keyed { group: Group::Cell, window: 1 }, Outcome::Error, LocalReply::Failed),
         (
             Effect::Keyed { group: Group::All, window: 1 },
             Outcome::Error,
-            Synthetic::Refused { retry_after: 0 },
+            LocalReply::Refused { retry_after: 0 },
         ),
     ] {
         let mut reqs = reqs(effect);
@@ -97,7 +104,7 @@
         // After a first answer nothing is decided any more, so the guard is met directly.
         reqs.table.get_mut(id).unwrap().attempts[0].outcome = Some(outcome);
         reqs.table.get_mut(id).unwrap().last_outcome = Some(outcome);
-        reqs.answer(NOW, id, Synthetic::Refused { retry_after: 0 });
+        reqs.answer(NOW, id, LocalReply::Refused { retry_after: 0 });
         assert_eq!(answers(&mut reqs), [wanted], "{effect:?} {outcome:?}");
     }
 }
--- a/node/src/ring.rs
+++ b/node/src/ring.rs
@@ -87,7 +87,7 @@
     }
 }
 
-pub struct Ring {
+pub struct RingBuffer {
     budget: Budget,
     store: Vec<u8>,
     head: usize,
@@ -122,14 +122,14 @@
     Broken,
 }
 
-impl Ring {
-    pub fn new(cap: usize) -> Ring {
-        Ring { budget: Budget::default(), store: Vec::new(), head: 0, len: 0, cap }
+impl RingBuffer {
+    pub fn new(cap: usize) -> RingBuffer {
+        RingBuffer { budget: Budget::default(), store: Vec::new(), head: 0, len: 0, cap }
     }
 
     /// Counted on a budget from here on. It is never turned down: what it holds is at most what has come in,
     /// or is made of it.
-    pub fn on(mut self, budget: &Budget) -> Ring {
+    pub fn on(mut self, budget: &Budget) -> RingBuffer {
         self.budget = budget.clone();
         self
     }
@@ -237,7 +237,7 @@
     }
 }
 
-impl Drop for Ring {
+impl Drop for RingBuffer {
     fn drop(&mut self) {
         self.budget.change(self.store.len(), 0);
     }
--- a/node/src/ring_tests.rs
+++ b/node/src/ring_tests.rs
@@ -5,7 +5,7 @@
 #[test]
 fn what_is_held_is_counted_and_given_back() {
     let budget = Budget::new(5000);
-    let (mut ring, mut body) = (Ring::new(9000).on(&budget), Body::on(&budget));
+    let (mut ring, mut body) = (RingBuffer::new(9000).on(&budget), Body::on(&budget));
     assert!(ring.push(&[0; 4000]) && body.extend(&[0; 1000]));
     assert!(budget.is_spent() && !body.extend(&[0]));
     ring.consume(4000);
@@ -18,7 +18,7 @@
 
 #[test]
 fn keeps_order_round_the_end_and_holds_to_its_cap() {
-    let mut ring = Ring::new(5000);
+    let mut ring = RingBuffer::new(5000);
     let bytes: Vec<u8> = (0..4000u32).map(|i| i as u8).collect();
     assert!(ring.push(&bytes[..1500]));
     ring.consume(1200);
@@ -33,10 +33,10 @@
 fn carries_bytes_from_socket_to_socket_as_they_fit() {
     let (near, far) = std::os::unix::net::UnixStream::pair().unwrap();
     far.set_nonblocking(true).unwrap();
-    let mut ring = Ring::new(10);
+    let mut ring = RingBuffer::new(10);
     assert!(ring.push(b"0123456789"));
     assert_eq!(ring.write_to(&near), Write::Done);
-    let mut into = Ring::new(4);
+    let mut into = RingBuffer::new(4);
     assert_eq!((into.read_from(&far), into.bytes()), (Read::Some, &b"0123"[..]));
     assert_eq!(into.read_from(&far), Read::Full);
     into.consume(2);
--- a/node/src/slots.rs
+++ b/node/src/slots.rs
@@ -2,7 +2,7 @@
 //! that an event for something that has ended finds nothing. Numbers rise, which keeps first come, first
 //! served among the reqs that the decisions order by number.
 
-pub struct Slots<T> {
+pub struct Slab<T> {
     /// A power of two.
     entries: Vec<Option<(u32, T)>>,
     next: u32,
@@ -10,12 +10,12 @@
     most: usize,
 }
 
-impl<T> Slots<T> {
+impl<T> Slab<T> {
     /// A table for `most` entries at a time.
-    pub fn new(most: usize) -> Slots<T> {
+    pub fn new(most: usize) -> Slab<T> {
         // Twice the room: a number whose slot is still held is passed over, which should be rare.
         let size = (2 * most).next_power_of_two();
-        Slots { entries: (0..size).map(|_| None).collect(), next: 1, held: 0, most }
+        Slab { entries: (0..size).map(|_| None).collect(), next: 1, held: 0, most }
     }
 
     pub fn len(&self) -> usize {
--- a/node/src/slots_tests.rs
+++ b/node/src/slots_tests.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn a_number_of_an_ended_entry_finds_nothing_and_numbers_rise() {
-    let mut slots = Slots::new(2);
+    let mut slots = Slab::new(2);
     let (a, b) = (slots.insert('a').unwrap(), slots.insert('b').unwrap());
     assert!(slots.insert('c').is_none());
     assert_eq!(slots.remove(a), Some('a'));
--- a/node/src/wheel.rs
+++ b/node/src/wheel.rs
@@ -6,27 +6,27 @@
 
 const SLOTS: usize = 1024;
 
-pub struct Wheel<T> {
+pub struct TimerWheel<T> {
     tick: Nanos,
     /// The last tick that was fired.
     fired: u64,
     slots: Vec<Vec<(u64, T)>>,
 }
 
-impl<T> Wheel<T> {
-    pub fn new(tick: Nanos, now: Nanos) -> Wheel<T> {
+impl<T> TimerWheel<T> {
+    pub fn new(tick: Nanos, now: Nanos) -> TimerWheel<T> {
         let slots = (0..SLOTS).map(|_| Vec::new()).collect();
-        Wheel { tick: tick.max(1), fired: now / tick.max(1), slots }
+        TimerWheel { tick: tick.max(1), fired: now / tick.max(1), slots }
     }
 
     /// Hangs a deadline; one that has passed fires in the next round.
-    pub fn hang(&mut self, at: Nanos, what: T) {
+    pub fn schedule(&mut self, at: Nanos, what: T) {
         let due = at.div_ceil(self.tick).max(self.fired + 1);
         self.slots[due as usize % SLOTS].push((due, what));
     }
 
     /// Takes what is due by now, in order of ticks.
-    pub fn fire(&mut self, now: Nanos) -> Vec<T> {
+    pub fn expire(&mut self, now: Nanos) -> Vec<T> {
         let upto = now / self.tick;
         let mut due = Vec::new();
         // After a long pause one turn visits every slot.
@@ -62,16 +62,16 @@
         Deadline { at: Self::NEVER, hung: Self::NEVER }
     }
 
-    pub fn set<T>(&mut self, at: Nanos, wheel: &mut Wheel<T>, what: T) {
+    pub fn set<T>(&mut self, at: Nanos, wheel: &mut TimerWheel<T>, what: T) {
         self.at = at;
         if at < self.hung {
             self.hung = at;
-            wheel.hang(at, what);
+            wheel.schedule(at, what);
         }
     }
 
     /// An entry has fired: tells whether the deadline is due, and hangs it anew where it has moved back.
-    pub fn is_due<T>(&mut self, now: Nanos, wheel: &mut Wheel<T>, what: T) -> bool {
+    pub fn is_due<T>(&mut self, now: Nanos, wheel: &mut TimerWheel<T>, what: T) -> bool {
         if self.hung > now {
             return false;
         }
--- a/node/src/wheel_tests.rs
+++ b/node/src/wheel_tests.rs
@@ -4,14 +4,14 @@
 
 #[test]
 fn a_deadline_that_moves_is_due_once_and_at_its_last_time() {
-    let (mut wheel, mut deadline) = (Wheel::new(1, 0), Deadline::new());
+    let (mut wheel, mut deadline) = (TimerWheel::new(1, 0), Deadline::new());
     deadline.set(5, &mut wheel, ());
     deadline.set(9, &mut wheel, ());
     deadline.set(3, &mut wheel, ());
     deadline.set(7, &mut wheel, ());
     let mut due = Vec::new();
     for now in 1..12 {
-        for () in wheel.fire(now) {
+        for () in wheel.expire(now) {
             if deadline.is_due(now, &mut wheel, ()) {
                 due.push(now);
             }
@@ -22,17 +22,17 @@
 
 #[test]
 fn fires_in_order_a_tick_late_at_most_and_never_early() {
-    let mut wheel = Wheel::new(5, 1_000);
+    let mut wheel = TimerWheel::new(5, 1_000);
     for (at, name) in [(1_012, 'b'), (1_003, 'a'), (1_000 + 5 * SLOTS as u64 + 12, 'd'), (7, 'z')] {
-        wheel.hang(at, name);
+        wheel.schedule(at, name);
     }
     assert_eq!(wheel.next(), Some(1_005));
-    assert_eq!(wheel.fire(1_004), []);
-    assert_eq!(wheel.fire(1_005), ['a', 'z']);
-    assert_eq!(wheel.fire(1_014), []);
-    assert_eq!(wheel.fire(1_015), ['b']);
+    assert_eq!(wheel.expire(1_004), []);
+    assert_eq!(wheel.expire(1_005), ['a', 'z']);
+    assert_eq!(wheel.expire(1_014), []);
+    assert_eq!(wheel.expire(1_015), ['b']);
     // A turn later in the same slot; and a pause longer than a turn loses nothing.
-    wheel.hang(30_000, 'e');
-    assert_eq!(wheel.fire(90_000), ['d', 'e']);
+    wheel.schedule(30_000, 'e');
+    assert_eq!(wheel.expire(90_000), ['d', 'e']);
     assert_eq!(wheel.next(), None);
 }
--- a/node/tests/crossings/held_up.rs
+++ b/node/tests/crossings/held_up.rs
@@ -53,8 +53,8 @@
         two_backends
     }
 
-    /// Sends a request on a connection that is there, and takes the lines apart: the one that it came to, whole,
-    /// and the other one.
+    /// Sends a request on a connection that is there, and takes the lines apart: the one that it came to,
+    /// whole, and the other one.
     fn send(&mut self, client: &mut Line, id: &str) -> (Line, Line) {
         client.send(&report(id, 5000));
         let place = until(|| self.lines.iter().position(Line::has_bytes));
