--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -11,10 +11,10 @@
 use crate::clock::{MS, SECOND};
 use crate::http1::{self, Bad, Head, MOST_ANSWER, MOST_HEAD, Parser, Start};
 use crate::net::{self, Registration, Unread};
-use crate::req::{LocalReply, RequestSpec};
-use crate::ring::{Body, Budget, Read, RingBuffer, Write};
+use crate::request_table::{LocalReply, RequestSpec};
+use crate::ring_buffer::{Body, Budget, Read, RingBuffer, Write};
 use crate::rules::CloseFacts;
-use crate::wheel::Deadline;
+use crate::timer_wheel::Deadline;
 
 /// A session that has never asked, or whose head is not whole, ends after this time: it may be one of
 /// hundreds that will never say more. For a first message it counts from the connection's start ...
--- a/node/src/ledger.rs
+++ b/node/src/descriptor_budget.rs
@@ -73,5 +73,5 @@
 }
 
 #[cfg(test)]
-#[path = "ledger_tests.rs"]
+#[path = "descriptor_budget_tests.rs"]
 mod tests;
--- a/node/src/ledger_tests.rs
+++ b/node/src/descriptor_budget_tests.rs
@@ -1,4 +1,4 @@
-//! Unit tests of `ledger`.
+//! Unit tests of `descriptor_budget`.
 
 use super::*;
 use proptest::prelude::*;
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -12,9 +12,9 @@
 use crate::clock::{MS, SECOND};
 use crate::http1::{self, Parser, Start};
 use crate::net::Registration;
-use crate::ring::{Read, RingBuffer};
+use crate::ring_buffer::{Read, RingBuffer};
 use crate::start_time::{Heard, StartTimes};
-use crate::wheel::Deadline;
+use crate::timer_wheel::Deadline;
 
 /// A watch says something every 2 s, a call is answered or turned down within 3 s: a connection silent for
 /// longer is cut off, and TCP would not tell. Short enough that what was missed is asked for again before
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -9,8 +9,8 @@
 use crate::clock::{MS, SECOND};
 use crate::http1::{Head, MOST_BODY, MOST_HEAD, Parser, Start};
 use crate::net::{self, Registration, Unread};
-use crate::ring::{Body, Budget, Read, RingBuffer, Write};
-use crate::wheel::Deadline;
+use crate::ring_buffer::{Body, Budget, Read, RingBuffer, Write};
+use crate::timer_wheel::Deadline;
 
 /// Once some backend has said more than it was asked, for so long ...
 const WARY: Nanos = 60 * SECOND;
--- a/node/src/http1.rs
+++ b/node/src/http1.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 as bytes: a parser that is fed what has come, and a writer. No sockets, no clock. Strict where a
 //! lenient reader would let two parties see two different messages.
 
-use crate::ring::{Body, Budget};
+use crate::ring_buffer::{Body, Budget};
 
 /// Longest head, and longest bodies that a request and an answer may have. Answers have been seen that are
 /// several times as long as the 64 KiB of the protocol.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,21 +8,21 @@
 mod clock;
 mod config;
 mod counters;
+mod descriptor_budget;
 mod discovery;
 mod errno;
 mod fetch;
 mod http1;
-mod ledger;
 mod log;
 mod net;
 mod node;
-mod req;
-mod ring;
+mod request_table;
+mod ring_buffer;
 mod rules;
 mod signals;
-mod slots;
+mod slab;
 mod start_time;
-mod wheel;
+mod timer_wheel;
 
 use std::process::ExitCode;
 
--- a/node/src/node.rs
+++ b/node/src/node.rs
@@ -19,17 +19,17 @@
 use crate::clock::{Clock, MS, SECOND};
 use crate::config::Config;
 use crate::counters::Counters;
+use crate::descriptor_budget::{DescriptorBudget, Purpose};
 use crate::discovery::{Call, Fleet, Freshness};
 use crate::fetch::{Fetch, Job, Pool};
-use crate::ledger::{DescriptorBudget, Purpose};
 use crate::log::{Log, Trace};
 use crate::net;
-use crate::req::{Command, RequestTable};
-use crate::ring::Budget;
+use crate::request_table::{Command, RequestTable};
+use crate::ring_buffer::Budget;
 use crate::rules::{Denial, Violation};
 use crate::signals::Signal;
-use crate::slots::Slab;
-use crate::wheel::TimerWheel;
+use crate::slab::Slab;
+use crate::timer_wheel::TimerWheel;
 
 /// A probe that has no answer by then has failed.
 const PROBE_PATIENCE: Nanos = 500 * MS;
--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -8,12 +8,12 @@
 use super::{BOTH, Due, FETCH, MIN_RETRY, Node, PostponedDial, READ, token};
 use crate::client::HARDLY_MISSED;
 use crate::clock::MS;
+use crate::descriptor_budget::Purpose;
 use crate::errno::{self, ErrorClass};
 use crate::fetch::{self, Fetch, Job, Progress, Reuse};
 use crate::http1;
-use crate::ledger::Purpose;
 use crate::net;
-use crate::ring::Body;
+use crate::ring_buffer::Body;
 use crate::rules::{self, Denial, WriteFacts};
 
 /// A turn of the loop that has lasted longer than this has old news of its clients.
--- a/node/src/node/lists.rs
+++ b/node/src/node/lists.rs
@@ -11,7 +11,7 @@
 use crate::errno::{self, ErrorClass};
 use crate::fetch::{self, Fetch};
 use crate::net;
-use crate::ring::Write;
+use crate::ring_buffer::Write;
 
 /// A call that this machine could not start for a moment is made after this.
 const CALL_RETRY: Nanos = 20 * MS;
--- a/node/src/node/sessions.rs
+++ b/node/src/node/sessions.rs
@@ -9,11 +9,11 @@
 use crate::client::{self, HARDLY_MISSED, Intake, Route, Session};
 use crate::clock::MS;
 use crate::counters::CloseReason;
+use crate::descriptor_budget::Purpose;
 use crate::errno::{self, ErrorClass};
-use crate::ledger::Purpose;
 use crate::net;
-use crate::req::{LocalReply, OpenError, RequestSpec};
-use crate::ring::Write;
+use crate::request_table::{LocalReply, OpenError, RequestSpec};
+use crate::ring_buffer::Write;
 use crate::rules::{self, ClosePermit, Denial, Violation};
 
 /// Answers to clients that have ended their sending behind their request.
--- a/node/src/req.rs
+++ b/node/src/request_table.rs
@@ -11,7 +11,7 @@
 
 use crate::log::Trace;
 use crate::rules::{self, Denial, History, StartFacts, Violation};
-use crate::slots::Slab;
+use crate::slab::Slab;
 
 /// A req as the client put it.
 #[derive(Debug, Clone)]
@@ -395,5 +395,5 @@
 }
 
 #[cfg(test)]
-#[path = "req_tests.rs"]
+#[path = "request_table_tests.rs"]
 mod tests;
--- a/node/src/req_tests.rs
+++ b/node/src/request_table_tests.rs
@@ -1,4 +1,4 @@
-//! Unit tests of `req`.
+//! Unit tests of `request_table`.
 
 use super::*;
 use crate::clock::{MS, SECOND};
--- a/node/src/ring.rs
+++ b/node/src/ring_buffer.rs
@@ -244,5 +244,5 @@
 }
 
 #[cfg(test)]
-#[path = "ring_tests.rs"]
+#[path = "ring_buffer_tests.rs"]
 mod tests;
--- a/node/src/ring_tests.rs
+++ b/node/src/ring_buffer_tests.rs
@@ -1,4 +1,4 @@
-//! Unit tests of `ring`.
+//! Unit tests of `ring_buffer`.
 
 use super::*;
 
--- a/node/src/slots.rs
+++ b/node/src/slab.rs
@@ -72,5 +72,5 @@
 }
 
 #[cfg(test)]
-#[path = "slots_tests.rs"]
+#[path = "slab_tests.rs"]
 mod tests;
--- a/node/src/slots_tests.rs
+++ b/node/src/slab_tests.rs
@@ -1,4 +1,4 @@
-//! Unit tests of `slots`.
+//! Unit tests of `slab`.
 
 use super::*;
 
--- a/node/src/wheel.rs
+++ b/node/src/timer_wheel.rs
@@ -84,5 +84,5 @@
 }
 
 #[cfg(test)]
-#[path = "wheel_tests.rs"]
+#[path = "timer_wheel_tests.rs"]
 mod tests;
--- a/node/src/wheel_tests.rs
+++ b/node/src/timer_wheel_tests.rs
@@ -1,4 +1,4 @@
-//! Unit tests of `wheel`.
+//! Unit tests of `timer_wheel`.
 
 use super::*;
 
