One question for how long a turn has lasted, asked with its span

Cause: read again; `waits_for_news` and `turn_has_lasted` reckoned the same difference. Change: `turn_has_lasted` takes the span. No change of behaviour.

--- a/node/src/node/fetches.rs
+++ b/node/src/node/fetches.rs
@@ -145,19 +145,19 @@
     fn client_is_gone(&self, req: u32, now: Nanos) -> bool {
         let session = self.reqs.owner(req).and_then(|owner| self.sessions.get(owner));
         session.is_none_or(|session| {
-            session.left || (self.turn_has_lasted(now) && net::has_left(&session.socket))
+            session.left || (self.turn_has_lasted(now, LONG_TURN) && net::has_left(&session.socket))
         })
     }
 
-    /// Whether what this turn's look has found may be old by now.
-    fn turn_has_lasted(&self, now: Nanos) -> bool {
-        now.saturating_sub(self.now) > LONG_TURN
+    /// Whether what this turn's look has found may be older than this by now.
+    fn turn_has_lasted(&self, now: Nanos, span: Nanos) -> bool {
+        now.saturating_sub(self.now) > span
     }
 
     /// Whether an attempt has to wait for news of the list, which go before a send: where this turn has
     /// lasted, they may have come since its look. It waits once, as discovery may never stop talking.
     fn waits_for_news(&mut self, number: u32, now: Nanos) -> bool {
-        if now.saturating_sub(self.now) <= OLD_NEWS || !self.has_unread_news() {
+        if !self.turn_has_lasted(now, OLD_NEWS) || !self.has_unread_news() {
             return false;
         }
         let Some(fetch) = self.fetches.get_mut(number) else { return false };
