Trace which connection carries an attempt, and why connections to backends close

Change: trace lines write and upstream-closed, counters upstream_closed by reason, the log word unexpected-bytes with the time since the last answer. No decision changes.

--- a/crates/node/src/node/accept.rs
+++ b/crates/node/src/node/accept.rs
@@ -106,6 +106,7 @@
         if self.client_fits() {
             return true;
         }
+        let now = self.event_loop.now();
         // A candidate that has sent a request in the meantime is not closed. Each round either
         // closes a connection or continues with another candidate.
         for _ in 0..=self.clients.len() {
@@ -115,7 +116,7 @@
                 && self
                     .descriptor_budget
                     .exceeds_reserve(Purpose::Upstream, self.upstreams.len())
-                && let Some(has_closed) = self.upstreams.evict_idle()
+                && let Some(has_closed) = self.upstreams.evict_idle(now, &mut self.diagnostics)
             {
                 return has_closed;
             }
--- a/crates/node/src/node/commands.rs
+++ b/crates/node/src/node/commands.rs
@@ -60,7 +60,11 @@
             }
             Command::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Command::Reply { connection, reply } => self.send_local_reply(connection, reply),
-            Command::CloseIdleConnections(backend) => self.upstreams.close_idle(backend),
+            Command::CloseIdleConnections(backend) => {
+                let now = self.event_loop.now();
+                self.upstreams
+                    .close_idle(backend, now, &mut self.diagnostics);
+            }
             Command::CheckHealth(backend) => self.check_health(backend),
             Command::SetTimer { at, timer } => self
                 .event_loop
--- a/crates/node/src/node/discovery.rs
+++ b/crates/node/src/node/discovery.rs
@@ -131,9 +131,11 @@
     /// that draining backends are sent no new attempts applies to that time. These attempts were
     /// not executed, so they can be retried elsewhere.
     fn handle_applied_update(&mut self, applied: AppliedUpdate) {
-        self.requests.feed(self.event_loop.now(), applied.event);
+        let now = self.event_loop.now();
+        self.requests.feed(now, applied.event);
         for backend in applied.disconnect {
-            self.upstreams.close_idle(backend);
+            self.upstreams
+                .close_idle(backend, now, &mut self.diagnostics);
             for number in self.upstreams.connecting_to(backend) {
                 self.end_attempt(number, Outcome::ConnectFailed);
             }
--- a/crates/node/src/node/upstream.rs
+++ b/crates/node/src/node/upstream.rs
@@ -79,7 +79,10 @@
             .discovery
             .ready_address(backend)
             .ok_or(DialError::Endpoint)?;
-        if let Some(number) = self.upstreams.take_idle(backend, now) {
+        if let Some(number) = self
+            .upstreams
+            .take_idle(backend, now, &mut self.diagnostics)
+        {
             return Ok(number);
         }
         if !self.ensure_upstream_capacity() {
@@ -115,7 +118,8 @@
         if let Some(expendable) = candidate.filter(|c| c.rank.is_expendable()) {
             return self.evict(expendable.number);
         }
-        if let Some(has_closed) = self.upstreams.evict_idle() {
+        let now = self.event_loop.now();
+        if let Some(has_closed) = self.upstreams.evict_idle(now, &mut self.diagnostics) {
             return has_closed;
         }
         candidate.is_some_and(|candidate| self.evict(candidate.number))
@@ -158,6 +162,7 @@
         let Some(bytes) = self.request_bytes(attempt, permit.timeout_ms()) else {
             return;
         };
+        self.trace_write(number, attempt, now);
         let Some(connection) = self.upstreams.get_mut(number) else {
             return;
         };
@@ -170,6 +175,20 @@
         }
     }
 
+    /// Traces which connection carries an attempt, and for how long that connection was idle;
+    /// -1 is a new connection.
+    fn trace_write(&self, number: u32, attempt: UpstreamAttempt, now: Nanos) {
+        let UpstreamAttempt::Request { request, attempt } = attempt else {
+            return;
+        };
+        let last_answer_at = self.upstreams.get(number).and_then(|c| c.last_answer_at());
+        let idle_us = last_answer_at.map_or(-1, |at| (now.saturating_sub(at) / 1_000) as i64);
+        self.diagnostics.trace(
+            now,
+            format_args!("write id={request} try={attempt} upstream={number} idle_us={idle_us}"),
+        );
+    }
+
     /// Whether an attempt must wait for unread updates of the endpoint list; if so, delays it. In a
     /// long iteration, updates may have arrived since its poll, and they must be applied before the
     /// attempt is sent.
@@ -247,9 +266,13 @@
             .upstreams
             .get(number)
             .is_some_and(|connection| self.discovery.ready_address(connection.backend()).is_some());
-        let attempt =
-            self.upstreams
-                .release(number, answer.reuse, is_backend_ready, &mut self.event_loop);
+        let attempt = self.upstreams.release(
+            number,
+            answer.reuse,
+            is_backend_ready,
+            &mut self.event_loop,
+            &mut self.diagnostics,
+        );
         if let Some(attempt) = attempt {
             let outcome = upstream::outcome(&answer.head);
             self.report_attempt_end(attempt, outcome, Some(answer));
@@ -257,14 +280,18 @@
     }
 
     pub(super) fn upstream_deadline_due(&mut self, number: u32) {
-        if let Some(outcome) = self.upstreams.expire(number, &mut self.event_loop) {
+        if let Some(outcome) =
+            self.upstreams
+                .expire(number, &mut self.event_loop, &mut self.diagnostics)
+        {
             self.end_attempt(number, outcome);
         }
     }
 
     /// Closes a connection, and only then reports how its attempt ended.
     pub(super) fn end_attempt(&mut self, number: u32, outcome: Outcome) {
-        if let Some(attempt) = self.upstreams.close(number) {
+        let now = self.event_loop.now();
+        if let Some(attempt) = self.upstreams.close(number, now, &mut self.diagnostics) {
             self.report_outcome(attempt, outcome);
         }
     }
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -81,6 +81,9 @@
     /// The time limits of the attempt. While the connection is in the pool, `abandon_at` is when it
     /// becomes too old to be reused.
     limits: AttemptLimits,
+    /// When the last answer was complete, in nanoseconds on the node's clock; `None` before the
+    /// first one.
+    last_answer_at: Option<Nanos>,
     /// Whether the attempt has already waited once for updates of the endpoint list to be read.
     waited_for_discovery: bool,
     outbox: RingBuffer,
@@ -103,6 +106,7 @@
                 abandon_at: 0,
                 write_by: Nanos::MAX,
             },
+            last_answer_at: None,
             waited_for_discovery: false,
             // Space for a body and a head as long as a client may send, and for the headers that
             // the node adds.
@@ -151,6 +155,17 @@
         self.attempt.take()
     }
 
+    /// When the last answer was complete, in nanoseconds on the node's clock; `None` before the
+    /// first one.
+    pub fn last_answer_at(&self) -> Option<Nanos> {
+        self.last_answer_at
+    }
+
+    /// Records that the answer on the connection was complete at `now`.
+    pub fn set_answered(&mut self, now: Nanos) {
+        self.last_answer_at = Some(now);
+    }
+
     /// Marks the connection as idle; it can be reused before `reusable_until`.
     pub fn set_idle(&mut self, reusable_until: Nanos) {
         self.state = UpstreamState::Idle;
--- a/crates/node/src/upstream/table.rs
+++ b/crates/node/src/upstream/table.rs
@@ -6,6 +6,7 @@
 use rustix::io::Errno;
 
 use super::attempt::{AttemptLimits, PostponedDial, UpstreamAttempt};
+use super::close_reason::UpstreamCloseReason;
 use super::connection::{Answer, Progress, Reuse, UpstreamConnection, UpstreamState};
 use super::pool::Pool;
 use crate::diagnostics::Diagnostics;
@@ -111,7 +112,12 @@
     /// Takes the most recently used idle connection to a backend that can be reused, and returns
     /// its number; `None` if there is none. Closes the connections that were used more recently but
     /// can't be reused.
-    pub fn take_idle(&mut self, backend: BackendId, now: Nanos) -> Option<u32> {
+    pub fn take_idle(
+        &mut self,
+        backend: BackendId,
+        now: Nanos,
+        diagnostics: &mut Diagnostics,
+    ) -> Option<u32> {
         while let Some(number) = self.pool.take(backend, now) {
             let Some(connection) = self.table.get_mut(number) else {
                 continue;
@@ -121,11 +127,41 @@
             if reuse == Reuse::Yes && connection.leave_pool(now) {
                 return Some(number);
             }
-            self.table.remove(number);
+            let reason = UpstreamCloseReason::of_reuse(reuse);
+            self.discard(number, reason, now, diagnostics);
         }
         None
     }
 
+    /// Closes and returns the connection with this number, and counts, traces and, for unexpected
+    /// bytes, logs the reason; `None` if the connection is already closed.
+    fn discard(
+        &mut self,
+        number: u32,
+        reason: UpstreamCloseReason,
+        now: Nanos,
+        diagnostics: &mut Diagnostics,
+    ) -> Option<UpstreamConnection> {
+        let connection = self.table.remove(number)?;
+        let backend = connection.backend().0;
+        diagnostics.count("upstream_closed", reason.name());
+        diagnostics.trace(
+            now,
+            format_args!(
+                "upstream-closed upstream={number} b={backend} why={}",
+                reason.name()
+            ),
+        );
+        if reason == UpstreamCloseReason::UnexpectedBytes {
+            let after_us = connection
+                .last_answer_at()
+                .map_or(0, |answered_at| now.saturating_sub(answered_at) / 1_000);
+            let details = format_args!("backend={backend} upstream={number} after_us={after_us}");
+            diagnostics.log(now, "unexpected-bytes", details);
+        }
+        Some(connection)
+    }
+
     /// Starts a new connection to a backend and returns its number.
     ///
     /// # Errors
@@ -234,9 +270,11 @@
             }
             Progress::Stale(reuse) => {
                 let backend = connection.backend();
-                self.pool.record_reuse(reuse, event_loop.now());
+                let now = event_loop.now();
+                self.pool.record_reuse(reuse, now);
                 self.pool.remove(backend, number);
-                self.table.remove(number);
+                let reason = UpstreamCloseReason::of_reuse(reuse);
+                self.discard(number, reason, now, diagnostics);
                 None
             }
         }
@@ -270,10 +308,12 @@
         reuse: Reuse,
         is_backend_ready: bool,
         event_loop: &mut EventLoop,
+        diagnostics: &mut Diagnostics,
     ) -> Option<UpstreamAttempt> {
         let now = event_loop.now();
         let connection = self.table.get_mut(number)?;
         let attempt = connection.take_attempt();
+        connection.set_answered(now);
         self.pool.record_reuse(reuse, now);
         if reuse == Reuse::Yes && is_backend_ready {
             let reusable_until = now.saturating_add(self.idle_timeout);
@@ -281,14 +321,24 @@
             connection.set_deadline(reusable_until, number, event_loop);
             self.pool.put(connection.backend(), number, now);
         } else {
-            self.table.remove(number);
+            let reason = if is_backend_ready {
+                UpstreamCloseReason::of_reuse(reuse)
+            } else {
+                UpstreamCloseReason::BackendNotReady
+            };
+            self.discard(number, reason, now, diagnostics);
         }
         attempt
     }
 
     /// Handles the fired timer of a connection. If its deadline has passed, closes an idle
     /// connection, or returns the outcome with which its attempt must be ended.
-    pub fn expire(&mut self, number: u32, event_loop: &mut EventLoop) -> Option<Outcome> {
+    pub fn expire(
+        &mut self,
+        number: u32,
+        event_loop: &mut EventLoop,
+        diagnostics: &mut Diagnostics,
+    ) -> Option<Outcome> {
         let connection = self.table.get_mut(number)?;
         if !connection.is_due(number, event_loop) {
             return None;
@@ -296,7 +346,8 @@
         if connection.state() == UpstreamState::Idle {
             let backend = connection.backend();
             self.pool.remove(backend, number);
-            self.table.remove(number);
+            let reason = UpstreamCloseReason::IdleTimeout;
+            self.discard(number, reason, event_loop.now(), diagnostics);
             return None;
         }
         Some(connection.outcome_if_closed(Outcome::Timeout))
@@ -304,22 +355,31 @@
 
     /// Closes a connection and returns the attempt that it carried; `None` if it carried none or is
     /// already closed.
-    pub fn close(&mut self, number: u32) -> Option<UpstreamAttempt> {
-        self.table.remove(number)?.take_attempt()
+    pub fn close(
+        &mut self,
+        number: u32,
+        now: Nanos,
+        diagnostics: &mut Diagnostics,
+    ) -> Option<UpstreamAttempt> {
+        let reason = UpstreamCloseReason::AttemptEnded;
+        self.discard(number, reason, now, diagnostics)?
+            .take_attempt()
     }
 
     /// Closes all idle connections to a backend.
-    pub fn close_idle(&mut self, backend: BackendId) {
+    pub fn close_idle(&mut self, backend: BackendId, now: Nanos, diagnostics: &mut Diagnostics) {
         for number in self.pool.drain(backend) {
-            self.table.remove(number);
+            let reason = UpstreamCloseReason::BackendNotReady;
+            self.discard(number, reason, now, diagnostics);
         }
     }
 
     /// Closes an idle connection to free its descriptor; `None` if no connection is idle, otherwise
     /// whether the chosen one was still open.
-    pub fn evict_idle(&mut self) -> Option<bool> {
+    pub fn evict_idle(&mut self, now: Nanos, diagnostics: &mut Diagnostics) -> Option<bool> {
         let number = self.pool.evict()?;
-        Some(self.table.remove(number).is_some())
+        let evicted = self.discard(number, UpstreamCloseReason::Evicted, now, diagnostics);
+        Some(evicted.is_some())
     }
 
     /// Postpones an attempt whose connection can't be started for lack of local resources.
