--- a/crates/node/tests/races/mod.rs
+++ b/crates/node/tests/races/mod.rs
@@ -7,6 +7,7 @@
 mod disconnects;
 mod ending;
 mod shutdown;
+mod unasked_answers;
 mod watch;
 
 use crate::common::{Connection, TestNode, report_request};
