Let every upstream connection rest after an answer, from the first one on

Cause: a second answer that came some milliseconds late was taken for the answer to the next request. Change: ReuseDelay: 10 ms after each answer, more after a later second answer (twice its lateness, 0.1 s at most, for a minute). The rest begins at a fresh reading of the clock.

--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod close_reason;
 mod connection;
 mod pool;
+mod reuse_delay;
 mod table;
 
 pub use attempt::{AttemptLimits, PostponedDial, UpstreamAttempt};
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -4,17 +4,7 @@
 
 use kitefork_balancer::{BackendId, Nanos};
 
-use super::connection::Reuse;
-use crate::clock::{MS, SECOND};
-
-/// For this long after any backend has sent unexpected bytes, in nanoseconds, connections to all
-/// backends are reused only after [`REUSE_DELAY`].
-const DELAYED_REUSE_PERIOD: Nanos = 60 * SECOND;
-/// Minimum time between an answer and the next request on the same connection, in nanoseconds: a
-/// second answer that arrives some milliseconds late would be taken for the answer to the next
-/// request. The delay applies only during [`DELAYED_REUSE_PERIOD`], as it costs additional
-/// connections.
-const REUSE_DELAY: Nanos = 10 * MS;
+use super::reuse_delay::ReuseDelay;
 
 struct IdleConnection {
     number: u32,
@@ -25,7 +15,7 @@
 #[derive(Default)]
 pub struct Pool {
     idle: BTreeMap<BackendId, Vec<IdleConnection>>,
-    delay_reuse_until: Nanos,
+    reuse_delay: ReuseDelay,
 }
 
 impl Pool {
@@ -37,22 +27,17 @@
         });
     }
 
-    /// Records whether a connection could be reused. Unexpected bytes delay the reuse of the
-    /// connections to all backends, for [`DELAYED_REUSE_PERIOD`].
-    pub fn record_reuse(&mut self, reuse: Reuse, now: Nanos) {
-        if reuse == Reuse::UnexpectedBytes {
-            self.delay_reuse_until = now.saturating_add(DELAYED_REUSE_PERIOD);
-        }
+    /// Records at `now` that bytes which belong to no request came on a connection, `lateness`
+    /// nanoseconds after its last answer. This may delay the reuse of the connections to all
+    /// backends.
+    pub fn record_unexpected_bytes(&mut self, lateness: Nanos, now: Nanos) {
+        self.reuse_delay.record_unexpected_bytes(lateness, now);
     }
 
     /// Removes and returns the most recently used connection to a backend that may be reused now;
     /// `None` if there is none. The older connections stay idle until their timeout closes them.
     pub fn take(&mut self, backend: BackendId, now: Nanos) -> Option<u32> {
-        let delay = if now < self.delay_reuse_until {
-            REUSE_DELAY
-        } else {
-            0
-        };
+        let delay = self.reuse_delay.at(now);
         let idle = self.idle.get_mut(&backend)?;
         let position = idle
             .iter()
--- a/crates/node/src/upstream/table.rs
+++ b/crates/node/src/upstream/table.rs
@@ -123,7 +123,6 @@
                 continue;
             };
             let reuse = connection.check_reuse();
-            self.pool.record_reuse(reuse, now);
             if reuse == Reuse::Yes && connection.leave_pool(now) {
                 return Some(number);
             }
@@ -133,8 +132,8 @@
         None
     }
 
-    /// Closes and returns the connection with this number, and counts, traces and, for unexpected
-    /// bytes, logs the reason; `None` if the connection is already closed.
+    /// Closes and returns the connection with this number; `None` if it is already closed. Counts
+    /// and traces the reason; unexpected bytes are also logged and recorded by the pool.
     fn discard(
         &mut self,
         number: u32,
@@ -153,9 +152,11 @@
             ),
         );
         if reason == UpstreamCloseReason::UnexpectedBytes {
-            let after_us = connection
+            let lateness = connection
                 .last_answer_at()
-                .map_or(0, |answered_at| now.saturating_sub(answered_at) / 1_000);
+                .map_or(0, |answered_at| now.saturating_sub(answered_at));
+            self.pool.record_unexpected_bytes(lateness, now);
+            let after_us = lateness / 1_000;
             let details = format_args!("backend={backend} upstream={number} after_us={after_us}");
             diagnostics.log(now, "unexpected-bytes", details);
         }
@@ -271,7 +272,6 @@
             Progress::Stale(reuse) => {
                 let backend = connection.backend();
                 let now = event_loop.now();
-                self.pool.record_reuse(reuse, now);
                 self.pool.remove(backend, number);
                 let reason = UpstreamCloseReason::of_reuse(reuse);
                 self.discard(number, reason, now, diagnostics);
@@ -313,13 +313,14 @@
         let now = event_loop.now();
         let connection = self.table.get_mut(number)?;
         let attempt = connection.take_attempt();
-        connection.set_answered(now);
-        self.pool.record_reuse(reuse, now);
+        // The iteration may have lasted: the answer was read now, not at its start.
+        let answered_at = event_loop.clock().read();
+        connection.set_answered(answered_at);
         if reuse == Reuse::Yes && is_backend_ready {
             let reusable_until = now.saturating_add(self.idle_timeout);
             connection.set_idle(reusable_until);
             connection.set_deadline(reusable_until, number, event_loop);
-            self.pool.put(connection.backend(), number, now);
+            self.pool.put(connection.backend(), number, answered_at);
         } else {
             let reason = if is_backend_ready {
                 UpstreamCloseReason::of_reuse(reuse)
--- a/crates/node/tests/races/unasked_answers.rs
+++ b/crates/node/tests/races/unasked_answers.rs
@@ -16,8 +16,8 @@
 /// test itself may be too slow.
 const ROUNDS: u64 = 5;
 
-/// Checks that the client's request `id` gets an answer that was made for it, on the next connection
-/// to `backend`, or no success.
+/// Checks that the client's request `id` gets an answer that was made for it, on the next
+/// connection to `backend`, or no success.
 fn expect_own_answer(client: &mut Connection, backend: &StandIn, id: &str) {
     let deadline = Instant::now() + Duration::from_secs(2);
     let mut connection = wait_for(|| {
@@ -46,7 +46,12 @@
 fn first_late_second_answer_is_not_served_to_the_next_request() {
     for round in 0..ROUNDS {
         let node = TestNode::start();
-        let (mut client, mut backend) = with_idle_connection(&node, "first");
+        let mut client = node.client();
+        client.send(&report_request("first", 5000));
+        let mut backend = node.backend.accept();
+        backend.expect("body");
+        backend.serve("200 OK", "warm");
+        client.expect("warm");
         client.send(&report_request("next", 5000));
         sleep_ms(1 + round % LATENESS_MS);
         backend.try_send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwarm");
@@ -80,8 +85,6 @@
 fn answer_that_arrives_while_the_write_is_delayed_is_not_served() {
     let node = TestNode::with_faults("send=sleep:120", |config| config);
     let (mut client, mut backend) = with_idle_connection(&node, "first");
-    // The connection has been idle for long enough to be reused.
-    sleep_ms(100);
     client.send(&report_request("delayed", 5000));
     sleep_ms(50);
     backend.serve("200 OK", "warm");
