Write no request on a connection on which bytes are unread

Cause: only idle connections were checked for unread bytes, when they left the pool. A new connection, and one whose attempt was delayed after that, was written to unchecked. Change: may_write asks what is unread, right before the first byte, on every connection; if there is something, the connection closes and the attempt ends as not executed.

--- a/crates/node/src/node/upstream.rs
+++ b/crates/node/src/node/upstream.rs
@@ -7,10 +7,11 @@
 use crate::descriptor_budget::Purpose;
 use crate::downstream::Reply;
 use crate::http1;
+use crate::net::Unread;
 use crate::rules::{self, Denial, WriteFacts};
 use crate::upstream::{
     self, Answer, AttemptLimits, DialError, IdleConnection, PostponedDial, UpstreamAttempt,
-    UpstreamEvent,
+    UpstreamCloseReason, UpstreamEvent,
 };
 
 /// In an iteration that has lasted longer than this, in nanoseconds, a client may have disconnected
@@ -147,8 +148,8 @@
     }
 
     /// Starts writing the request on an established connection if the rules still allow the write.
-    /// For this check, the clock is read again and, in a long iteration, the state of the client's
-    /// connection too.
+    /// For this check, the clock is read again, the connection is checked for unread bytes and, in
+    /// a long iteration, the state of the client's connection too.
     fn begin_request(&mut self, number: u32) {
         let now = self.event_loop.clock().read();
         if self.must_wait_for_discovery(number, now) {
@@ -158,7 +159,7 @@
             return;
         };
         let Some(facts) = self.write_facts(number, attempt, now) else {
-            return;
+            return self.upstreams.delay_write(number, &mut self.event_loop);
         };
         let permit = match rules::may_write(now, &facts) {
             Ok(permit) => permit,
@@ -171,7 +172,7 @@
         let Some(connection) = self.upstreams.get_mut(number) else {
             return;
         };
-        if !connection.queue_request(&bytes) {
+        if !connection.queue_request(&bytes, &permit) {
             return self.end_attempt(number, Outcome::ConnectFailed);
         }
         self.advance_upstream(number, false);
@@ -207,16 +208,21 @@
     }
 
     /// The facts that decide whether the attempt of a connection may be written; `None` if the
-    /// connection does not exist.
+    /// kernel temporarily can't tell what is unread, or the connection does not exist.
     fn write_facts(&self, number: u32, attempt: UpstreamAttempt, now: Nanos) -> Option<WriteFacts> {
         let connection = self.upstreams.get(number)?;
         let limits = connection.limits();
+        let unread = connection.unread();
+        if unread == Unread::Unknown {
+            return None;
+        }
         Some(WriteFacts {
             answered: self.is_obsolete(attempt),
             client_disconnected: attempt
                 .request()
                 .is_some_and(|request| self.is_client_disconnected(request, now)),
             backend_ready: self.discovery.ready_address(connection.backend()).is_some(),
+            unread,
             abandon_at: limits.abandon_at,
             write_by: limits.write_by,
         })
@@ -258,12 +264,17 @@
         self.diagnostics
             .count_denial(now, denial, format_args!("upstream={number}"));
         let outcome = match denial {
-            Denial::BackendNotReady | Denial::DeadlinePassed | Denial::WindowClosed => {
-                Outcome::ConnectFailed
-            }
+            Denial::BackendNotReady
+            | Denial::DeadlinePassed
+            | Denial::WindowClosed
+            | Denial::UnexpectedBytes => Outcome::ConnectFailed,
             _ => Outcome::NotSent,
         };
-        self.end_attempt(number, outcome);
+        let reason = match denial {
+            Denial::UnexpectedBytes => UpstreamCloseReason::UnexpectedBytes,
+            _ => UpstreamCloseReason::AttemptEnded,
+        };
+        self.close_and_report(number, outcome, reason);
     }
 
     fn handle_answer(&mut self, number: u32, answer: Answer) {
@@ -293,10 +304,18 @@
         }
     }
 
-    /// Closes a connection, and only then reports how its attempt ended.
+    /// Ends the attempt of a connection, which is closed.
     pub(super) fn end_attempt(&mut self, number: u32, outcome: Outcome) {
+        self.close_and_report(number, outcome, UpstreamCloseReason::AttemptEnded);
+    }
+
+    /// Closes a connection, and only then reports how its attempt ended.
+    fn close_and_report(&mut self, number: u32, outcome: Outcome, reason: UpstreamCloseReason) {
         let now = self.event_loop.now();
-        if let Some(attempt) = self.upstreams.close(number, now, &mut self.diagnostics) {
+        let attempt = self
+            .upstreams
+            .close(number, reason, now, &mut self.diagnostics);
+        if let Some(attempt) = attempt {
             self.report_outcome(attempt, outcome);
         }
     }
--- a/crates/node/src/rules.rs
+++ b/crates/node/src/rules.rs
@@ -13,6 +13,7 @@
 use kitefork_balancer::{Idempotency, Nanos};
 
 use crate::clock::MS;
+use crate::net::Unread;
 
 /// Minimum time between the write of an attempt and its abandonment, in nanoseconds. Less than a
 /// millisecond would be sent as a timeout of 0 ms, and the attempt would have expired on arrival.
@@ -38,6 +39,9 @@
     WindowClosed,
     /// The backend is not ready according to the endpoint list: it is draining or removed.
     BackendNotReady,
+    /// Bytes were received on the connection to the backend before the request was written. They
+    /// would be taken for its answer.
+    UnexpectedBytes,
     /// The connection may have received bytes that are not parsed yet.
     UnreadInput,
     /// A request on the connection waits for its answer, or an answer is not completely written.
@@ -56,6 +60,7 @@
             Denial::MayHaveBeenExecuted => "may_have_run",
             Denial::WindowClosed => "window_closed",
             Denial::BackendNotReady => "backend_not_ready",
+            Denial::UnexpectedBytes => "unexpected_bytes",
             Denial::UnreadInput => "unread",
             Denial::AnswerPending => "answer_owed",
         }
@@ -130,6 +135,8 @@
     pub client_disconnected: bool,
     /// Whether the backend is ready according to the endpoint list.
     pub backend_ready: bool,
+    /// What can be read from the connection to the backend.
+    pub unread: Unread,
     /// When the attempt is abandoned.
     pub abandon_at: Nanos,
     /// Latest time at which the attempt may be written; [`Nanos::MAX`] without a limit.
@@ -181,6 +188,8 @@
         Err(Denial::ClientDisconnected)
     } else if !facts.backend_ready {
         Err(Denial::BackendNotReady)
+    } else if facts.unread == Unread::Bytes {
+        Err(Denial::UnexpectedBytes)
     } else if now.saturating_add(MIN_TIME_LEFT) > facts.abandon_at {
         Err(Denial::DeadlinePassed)
     } else if now > facts.write_by {
--- a/crates/node/src/rules_tests.rs
+++ b/crates/node/src/rules_tests.rs
@@ -35,6 +35,7 @@
         answered: false,
         client_disconnected: false,
         backend_ready: true,
+        unread: Unread::Nothing,
         abandon_at: NOW + 500 * MS,
         write_by: NOW + 100 * MS,
     }
@@ -71,10 +72,11 @@
             .ok(),
         Some(500)
     );
-    let cases: [(Denial, Change<WriteFacts>); 6] = [
+    let cases: [(Denial, Change<WriteFacts>); 7] = [
         (Denial::Answered, |f| f.answered = true),
         (Denial::ClientDisconnected, |f| f.client_disconnected = true),
         (Denial::BackendNotReady, |f| f.backend_ready = false),
+        (Denial::UnexpectedBytes, |f| f.unread = Unread::Bytes),
         (Denial::DeadlinePassed, |f| f.abandon_at = NOW),
         (Denial::DeadlinePassed, |f| {
             f.abandon_at = NOW + MIN_TIME_LEFT - 1;
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -12,6 +12,7 @@
 use crate::http1::{Head, MAX_HEAD, MAX_REQUEST_BODY, Parser, Start};
 use crate::net::{self, Registration, Unread};
 use crate::ring_buffer::{Body, BufferBudget, ReadOutcome, RingBuffer, WriteOutcome};
+use crate::rules::WritePermit;
 use crate::timer_wheel::Deadline;
 
 /// Capacity of the inbox in addition to a head of the maximum length, in bytes. Without these
@@ -23,8 +24,7 @@
 pub enum UpstreamState {
     /// The connection is not established.
     Connecting,
-    /// Established, with no byte of the request written yet. The caller must check
-    /// `rules::may_write` before it queues the request; the connection does not enforce that.
+    /// Established, with no byte of the request written yet.
     Connected,
     /// The request is being written and is not complete yet.
     Sending,
@@ -214,9 +214,10 @@
         }
     }
 
-    /// Puts a request in the outbox; returns `false` if it does not fit.
+    /// Puts a request in the outbox, whose write `_permit` allows; returns `false` if it does not
+    /// fit.
     #[must_use]
-    pub fn queue_request(&mut self, bytes: &[u8]) -> bool {
+    pub fn queue_request(&mut self, bytes: &[u8], _permit: &WritePermit) -> bool {
         self.state = UpstreamState::Sending;
         self.outbox.push(bytes)
     }
@@ -319,10 +320,15 @@
         }
     }
 
+    /// What can be read from the connection now.
+    pub fn unread(&self) -> Unread {
+        net::unread(&self.socket)
+    }
+
     /// Checks whether an idle connection can be reused: it can't if the peer has closed it or bytes
     /// are unread.
     pub fn check_reuse(&self) -> Reuse {
-        match net::unread(&self.socket) {
+        match self.unread() {
             Unread::Nothing => Reuse::Yes,
             Unread::Bytes => Reuse::UnexpectedBytes,
             Unread::Closed | Unread::Unknown => Reuse::No,
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 mod table;
 
 pub use attempt::{AttemptLimits, PostponedDial, UpstreamAttempt};
+pub use close_reason::UpstreamCloseReason;
 pub use connection::{Answer, outcome};
 pub use pool::IdleConnection;
 pub use table::{DialError, UpstreamConnections, UpstreamEvent};
--- a/crates/node/src/upstream/table.rs
+++ b/crates/node/src/upstream/table.rs
@@ -235,13 +235,20 @@
         if !connection.begin_discovery_wait() {
             return false;
         }
-        // The connection is established, so the connect timeout no longer applies.
-        let deadline = connection.limits().write_deadline();
-        connection.set_deadline(deadline, number, event_loop);
-        connection.pause(number, event_loop);
+        self.delay_write(number, event_loop);
         true
     }
 
+    /// Delays the write of the request on an established connection by [`MIN_RETRY`].
+    pub fn delay_write(&mut self, number: u32, event_loop: &mut EventLoop) {
+        if let Some(connection) = self.table.get_mut(number) {
+            // The connection is established, so the connect timeout no longer applies.
+            let deadline = connection.limits().write_deadline();
+            connection.set_deadline(deadline, number, event_loop);
+            connection.pause(number, event_loop);
+        }
+    }
+
     /// Advances a connection as far as its socket allows (`is_ready`: the socket has become ready);
     /// `None` if the node need not act on it now.
     pub fn advance(
@@ -359,15 +366,15 @@
         Some(connection.outcome_if_closed(Outcome::Timeout))
     }
 
-    /// Closes a connection and returns the attempt that it carried; `None` if it carried none or is
-    /// already closed.
+    /// Closes a connection for this reason and returns the attempt that it carried; `None` if it
+    /// carried none or is already closed.
     pub fn close(
         &mut self,
         number: u32,
+        reason: UpstreamCloseReason,
         now: Nanos,
         diagnostics: &mut Diagnostics,
     ) -> Option<UpstreamAttempt> {
-        let reason = UpstreamCloseReason::AttemptEnded;
         self.discard(number, reason, now, diagnostics)?
             .take_attempt()
     }
