Take no bytes for an answer that may be older than the request

Seen by callers (in the test): an answer that came while the node was held up in its write was served to the client of the request being written. Cause: only the state after a write counted. Bytes that came between two pieces of a request, or during a delayed write, were read after the last piece and taken for the answer. Change: what has come between two pieces is read before the next one and ends the attempt as not executed; what can be read right after a write of over 5 ms ends it as one that may have been executed. Both are logged as unexpected-bytes.

--- a/crates/node/src/node/upstream.rs
+++ b/crates/node/src/node/upstream.rs
@@ -144,6 +144,9 @@
             Some(UpstreamEvent::Connected) => self.begin_request(number),
             Some(UpstreamEvent::Answered(answer)) => self.handle_answer(number, answer),
             Some(UpstreamEvent::Failed(outcome)) => self.end_attempt(number, outcome),
+            Some(UpstreamEvent::UnexpectedBytes(outcome)) => {
+                self.close_and_report(number, outcome, UpstreamCloseReason::UnexpectedBytes);
+            }
         }
     }
 
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -8,6 +8,7 @@
 use rustix::net::sockopt;
 
 use super::attempt::{AttemptLimits, UpstreamAttempt};
+use crate::clock::{Clock, MS};
 use crate::event_loop::{EventLoop, MIN_RETRY, READ, READ_WRITE, TimerEvent, Token};
 use crate::http1::{Head, MAX_HEAD, MAX_REQUEST_BODY, Parser, Start};
 use crate::net::{self, Registration, Unread};
@@ -19,6 +20,10 @@
 /// bytes, a head above the maximum length would fill the inbox and never be rejected.
 const INBOX_EXTRA_BYTES: usize = 1024;
 
+/// A write that has taken longer than this, in nanoseconds, may have been delayed before its bytes
+/// were sent, so what can be read right after it may be older than the request.
+const MAX_WRITE_DURATION: Nanos = 5 * MS;
+
 /// How far an upstream connection and the request on it have come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamState {
@@ -68,6 +73,9 @@
     Answered(Answer),
     /// The attempt has failed with this outcome.
     Failed(Outcome),
+    /// Bytes were received that may be older than the request, so they can't be taken for its
+    /// answer. The attempt has failed with this outcome.
+    UnexpectedBytes(Outcome),
     /// An idle connection can't be reused, for this reason, and must be closed.
     Stale(Reuse),
 }
@@ -86,6 +94,8 @@
     last_answer_at: Option<Nanos>,
     /// Whether the attempt has already waited once for updates of the endpoint list to be read.
     waited_for_discovery: bool,
+    /// Length of the request that was put in the outbox last, in bytes.
+    request_length: usize,
     outbox: RingBuffer,
     inbox: RingBuffer,
     parser: Parser,
@@ -107,6 +117,7 @@
                 write_by: Nanos::MAX,
             },
             last_answer_at: None,
+            request_length: 0,
             waited_for_discovery: false,
             // Space for a body and a head as long as a client may send, and for the headers that
             // the node adds.
@@ -219,13 +230,14 @@
     #[must_use]
     pub fn queue_request(&mut self, bytes: &[u8], _permit: &WritePermit) -> bool {
         self.state = UpstreamState::Sending;
+        self.request_length = bytes.len();
         self.outbox.push(bytes)
     }
 
     /// Advances the connection after its socket has become ready (`is_ready`), or after a request
     /// has been put in the outbox. A connection that is being established advances only once its
-    /// socket is ready.
-    pub fn advance(&mut self, is_ready: bool) -> Progress {
+    /// socket is ready. `clock` shows how long a write takes.
+    pub fn advance(&mut self, is_ready: bool, clock: &Clock) -> Progress {
         if self.state == UpstreamState::Connecting {
             if !is_ready {
                 return Progress::Pending;
@@ -238,7 +250,35 @@
         if self.state == UpstreamState::Connected {
             return Progress::Connected;
         }
+        if self.state == UpstreamState::Sending {
+            self.send(clock)
+        } else {
+            self.read()
+        }
+    }
+
+    /// Writes the request as far as the socket accepts it, and reads its answer.
+    fn send(&mut self, clock: &Clock) -> Progress {
+        if self.is_partly_written() {
+            // What was received before the rest is written can't be the answer to the request, so
+            // it is read first.
+            match self.read() {
+                Progress::Pending if self.has_received_part() => {
+                    return Progress::UnexpectedBytes(Outcome::ConnectFailed);
+                }
+                Progress::Pending => {}
+                other => return other,
+            }
+        }
+        let started_at = clock.read();
         let write_outcome = self.write();
+        let duration = clock.read().saturating_sub(started_at);
+        if self.state == UpstreamState::Waiting
+            && duration > MAX_WRITE_DURATION
+            && matches!(self.unread(), Unread::Bytes | Unread::Unknown)
+        {
+            return Progress::UnexpectedBytes(Outcome::Reset);
+        }
         // A backend that rejects a request may answer and close before it has read the whole
         // request, so the answer is read even if the write failed.
         match self.read() {
@@ -250,10 +290,17 @@
         }
     }
 
+    /// Whether some of the request is written, but not all of it.
+    fn is_partly_written(&self) -> bool {
+        self.state == UpstreamState::Sending && self.outbox.len() < self.request_length
+    }
+
+    /// Whether a part of an answer was received.
+    fn has_received_part(&self) -> bool {
+        !self.inbox.is_empty() || !self.parser.is_at_start()
+    }
+
     fn write(&mut self) -> WriteOutcome {
-        if self.state != UpstreamState::Sending {
-            return WriteOutcome::Done;
-        }
         let write_outcome = self.outbox.write_to(&self.socket);
         if self.outbox.is_empty() {
             self.state = UpstreamState::Waiting;
@@ -295,7 +342,7 @@
         let is_sent = self.state == UpstreamState::Waiting;
         // A success before the request is completely sent can't be the answer to this request.
         if !is_sent && outcome(&head) == Outcome::Success {
-            return Progress::Failed(Outcome::ConnectFailed);
+            return Progress::UnexpectedBytes(Outcome::ConnectFailed);
         }
         // A connection with bytes after the answer is not reused: they would be taken for the
         // answer to the next request.
--- a/crates/node/src/upstream/table.rs
+++ b/crates/node/src/upstream/table.rs
@@ -35,6 +35,9 @@
     Answered(Answer),
     /// The attempt has failed with this outcome, and the connection must be closed.
     Failed(Outcome),
+    /// Bytes were received that may be older than the request: the attempt has failed with this
+    /// outcome, and the connection must be closed.
+    UnexpectedBytes(Outcome),
 }
 
 /// All upstream connections, including idle ones, and the dials that are postponed.
@@ -263,10 +266,11 @@
             return Some(UpstreamEvent::Failed(Outcome::ConnectFailed));
         }
         let previous_state = connection.state();
-        match connection.advance(is_ready) {
+        match connection.advance(is_ready, event_loop.clock()) {
             Progress::Connected => Some(UpstreamEvent::Connected),
             Progress::Answered(answer) => Some(UpstreamEvent::Answered(answer)),
             Progress::Failed(outcome) => Some(UpstreamEvent::Failed(outcome)),
+            Progress::UnexpectedBytes(outcome) => Some(UpstreamEvent::UnexpectedBytes(outcome)),
             Progress::RetryLater => {
                 connection.pause(number, event_loop);
                 None
