--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -4,12 +4,14 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use rustix::net::SendFlags;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
@@ -45,10 +47,16 @@
     Unchanged,
     /// The bytes of each write are sent twice in a row.
     Duplicated,
+    /// The bytes of each write are sent again some milliseconds later, even if the node has sent a
+    /// further request by then.
+    DuplicatedLate,
     /// The bytes are sent in pieces of a few bytes, with a pause after each piece.
     InPieces,
 }
 
+/// Maximum lateness of the copy for [`WriteBehaviour::DuplicatedLate`], in milliseconds; copies are
+/// 1 ms, 2 ms, ... late in turn.
+const MAX_COPY_LATENESS_MS: usize = 5;
 /// Maximum length of a piece for [`WriteBehaviour::InPieces`], in bytes.
 const PIECE_BYTES: usize = 7;
 /// Pause after each piece for [`WriteBehaviour::InPieces`].
@@ -83,6 +91,8 @@
     resets: AtomicU64,
     open_connections: AtomicUsize,
     accepted_connections: AtomicUsize,
+    /// Number of copies that [`WriteBehaviour::DuplicatedLate`] has made so far.
+    late_copies: AtomicUsize,
 }
 
 impl Link {
@@ -290,6 +300,22 @@
     }
 }
 
+impl LinkedStream {
+    /// Sends `bytes` on the connection some milliseconds from now, unless it has broken by then.
+    fn send_copy_late(&self, bytes: &[u8]) {
+        let number = self.link.late_copies.fetch_add(1, Ordering::SeqCst);
+        let lateness = Duration::from_millis((1 + number % MAX_COPY_LATENESS_MS) as u64);
+        let Ok(socket) = self.stream.as_fd().try_clone_to_owned() else {
+            return;
+        };
+        let bytes = bytes.to_vec();
+        tokio::spawn(async move {
+            tokio::time::sleep(lateness).await;
+            let _ = rustix::net::send(&socket, &bytes, SendFlags::NOSIGNAL);
+        });
+    }
+}
+
 impl AsyncRead for LinkedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -316,6 +342,13 @@
                 let written = Pin::new(&mut self.stream).poll_write(context, &doubled);
                 written.map_ok(|count| count.min(bytes.len()))
             }
+            WriteBehaviour::DuplicatedLate => {
+                let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+                if let Poll::Ready(Ok(count)) = &written {
+                    self.send_copy_late(&bytes[..*count]);
+                }
+                written
+            }
             WriteBehaviour::InPieces => {
                 if let Some(pause) = &mut self.pause {
                     std::task::ready!(pause.as_mut().poll(context));
--- a/crates/standin/src/link_tests.rs
+++ b/crates/standin/src/link_tests.rs
@@ -54,6 +54,7 @@
     let mut stream = TcpStream::connect(address).await.unwrap();
     for (behaviour, expected) in [
         (WriteBehaviour::Duplicated, &b"aa"[..]),
+        (WriteBehaviour::DuplicatedLate, b"aa"),
         (WriteBehaviour::InPieces, b"a"),
         (WriteBehaviour::Unchanged, b"a"),
     ] {
--- a/crates/testbed/src/cluster/actions.rs
+++ b/crates/testbed/src/cluster/actions.rs
@@ -9,6 +9,7 @@
 use kitefork_standin::link::{LinkState, WriteBehaviour};
 use kitefork_standin::locked;
 use rustix::process::Signal;
+use tokio::net::TcpStream;
 
 use super::Cluster;
 use super::timeline::Event;
@@ -17,6 +18,8 @@
 
 /// Time that a resumed node is given to process what arrived while it was stopped.
 const CATCH_UP_TIME: Duration = Duration::from_millis(500);
+/// Time for which a crowd of idle clients stays connected.
+const CROWD_DURATION: Duration = Duration::from_secs(2);
 /// Time after which a draining or dead backend is removed from the list.
 const REMOVAL_DELAY: Duration = Duration::from_secs(1);
 
@@ -58,6 +61,7 @@
                 let _ = locked(&self.nodes[number]).remove_config();
                 self.signal(number, Signal::HUP);
             }
+            Action::Crowd => self.crowd_node(number),
             Action::DiscoveryCut => self.discovery_links[number].set_state(LinkState::Cut),
             _ => unreachable!("{action:?} is not an action on nodes"),
         }
@@ -87,6 +91,21 @@
         locked(&self.nodes[number]).write_config(config)
     }
 
+    /// Opens connections to a node, sends nothing on them and closes them after [`CROWD_DURATION`].
+    fn crowd_node(&self, number: usize) {
+        let Some(address) = locked(&self.nodes[number]).address() else {
+            return;
+        };
+        let count = self.scenario.fleet.sockets;
+        tokio::spawn(async move {
+            let mut connections = Vec::new();
+            for _ in 0..count {
+                connections.extend(TcpStream::connect(address).await);
+            }
+            tokio::time::sleep(CROWD_DURATION).await;
+        });
+    }
+
     fn pause_node(&self, number: usize) {
         self.signal(number, Signal::STOP);
         locked(&self.pauses).push(Pause {
@@ -149,6 +168,7 @@
                 link.set_state(LinkState::Healthy);
                 link.set_write_behaviour(WriteBehaviour::Unchanged);
             }
+            Action::AnswerTwiceLate => link.set_write_behaviour(WriteBehaviour::DuplicatedLate),
             Action::AnswerTwice => link.set_write_behaviour(WriteBehaviour::Duplicated),
             Action::AnswerInPieces => link.set_write_behaviour(WriteBehaviour::InPieces),
             Action::BackendCut => link.set_state(LinkState::Cut),
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -289,6 +289,8 @@
     ReloadHalf,
     /// Makes nodes reload a missing configuration file (SIGHUP).
     ReloadMissing,
+    /// Opens as many idle client connections to nodes as they may have descriptors.
+    Crowd,
     /// Makes discovery answer, over healthy links.
     #[serde(alias = "list-up")]
     DiscoveryUp,
@@ -327,6 +329,8 @@
     BackendWorks,
     /// Delivers all bytes from backends twice.
     AnswerTwice,
+    /// Delivers all bytes from backends again some milliseconds later.
+    AnswerTwiceLate,
     /// Delivers the bytes from backends a few at a time.
     AnswerInPieces,
     /// Cuts the links to backends in both directions.
@@ -360,6 +364,7 @@
             | Action::Reload
             | Action::ReloadHalf
             | Action::ReloadMissing
+            | Action::Crowd
             | Action::DiscoveryCut => Target::Nodes,
             Action::DiscoveryUp
             | Action::DiscoveryOverloaded
@@ -374,6 +379,7 @@
             | Action::BackendFails
             | Action::BackendWorks
             | Action::AnswerTwice
+            | Action::AnswerTwiceLate
             | Action::AnswerInPieces
             | Action::BackendCut
             | Action::BackendCutOut
--- a/crates/testbed/src/soak/fault.rs
+++ b/crates/testbed/src/soak/fault.rs
@@ -58,6 +58,12 @@
     AnswerTwice,
     /// Bytes from backends arrive a few at a time.
     AnswerInPieces,
+    /// All bytes from backends arrive again some milliseconds later.
+    AnswerTwiceLate,
+    /// Nodes get SIGHUP and SIGTERM several times within a third of a second, and are restarted.
+    SignalSeries,
+    /// Idle clients use up the descriptors of nodes.
+    Crowd,
 }
 
 impl FaultKind {
@@ -89,6 +95,14 @@
         FaultKind::AnswerTwice,
         FaultKind::AnswerInPieces,
     ];
+
+    /// Kinds of which each seed draws one in addition. A seed draws an index into this array as
+    /// well.
+    pub const ADDITIONAL: [FaultKind; 3] = [
+        FaultKind::AnswerTwiceLate,
+        FaultKind::SignalSeries,
+        FaultKind::Crowd,
+    ];
 }
 
 /// Plans of the fault shim in which calls fail, or transfer fewer bytes than requested, in ways
@@ -115,10 +129,14 @@
     "epoll_wait=late:120,chance:0.02",
 ];
 
-/// Seconds after SIGTERM at which a node that has not ended is killed, as the platform does.
-const KILL_AFTER_S: f64 = 6.5;
-/// Seconds after SIGTERM at which a node that was shut down is started again.
-const START_AFTER_S: f64 = 6.8;
+/// Maximum client timeout, in seconds, that delays the end of a shutdown.
+const MAX_COUNTED_TIMEOUT_S: f64 = 3.0;
+/// Seconds from the longest counted client timeout after SIGTERM to SIGKILL, as on the platform.
+const KILL_MARGIN_S: f64 = 0.7;
+/// Seconds after SIGKILL at which a node is started again.
+const START_AFTER_KILL_S: f64 = 0.3;
+/// Seconds from the start of a series of signals to its first SIGTERM.
+const SERIES_TERM_S: f64 = 0.2;
 /// Maximum time for which a node is paused, in seconds.
 const MAX_STOP_S: f64 = 1.0;
 /// Seconds after the end of the fault at which a dead backend is restarted. A dead backend is
@@ -157,10 +175,22 @@
     }
 }
 
+/// Earliest time from SIGTERM to SIGKILL on the platform, in seconds.
+fn earliest_kill_s(scenario: &Scenario) -> f64 {
+    let longest_timeout_s = scenario
+        .traffic
+        .class
+        .iter()
+        .map(|class| class.client_timeout().as_secs_f64())
+        .fold(0.0, f64::max);
+    longest_timeout_s.min(MAX_COUNTED_TIMEOUT_S) + KILL_MARGIN_S
+}
+
 impl PlannedFault {
     /// Adds the steps and the settings of the fault to a scenario.
     pub(super) fn add_to(&self, scenario: &mut Scenario) {
-        scenario.at.extend(self.steps());
+        let steps = self.steps(earliest_kill_s(scenario));
+        scenario.at.extend(steps);
         self.add_to_fleet(scenario);
     }
 
@@ -175,15 +205,14 @@
         }
     }
 
-    /// Steps of the fault; empty if the fault consists of node settings.
-    fn steps(&self) -> Vec<Step> {
+    /// Steps of the fault; empty if the fault consists of node settings. `kill_after_s` is the time
+    /// from SIGTERM to SIGKILL, in seconds.
+    fn steps(&self, kill_after_s: f64) -> Vec<Step> {
         let (from, to) = (self.from_s, self.from_s + self.duration_s);
         match self.kind {
-            FaultKind::Restart => vec![
-                self.step(from, Action::Term),
-                self.step(from + KILL_AFTER_S, Action::Kill),
-                self.step(from + START_AFTER_S, Action::Start),
-            ],
+            FaultKind::Restart => self.shutdown_steps(from, kill_after_s),
+            FaultKind::SignalSeries => self.signal_series_steps(from, kill_after_s),
+            FaultKind::Crowd => vec![self.step(from, Action::Crowd)],
             FaultKind::Kill => vec![self.step(from, Action::Kill), self.step(to, Action::Start)],
             FaultKind::Stop => vec![
                 self.step(from, Action::Stop),
@@ -211,6 +240,31 @@
         }
     }
 
+    /// Steps of a graceful shutdown that begins at `term_s`, and of the restart after it.
+    fn shutdown_steps(&self, term_s: f64, kill_after_s: f64) -> Vec<Step> {
+        let kill_s = term_s + kill_after_s;
+        vec![
+            self.step(term_s, Action::Term),
+            self.step(kill_s, Action::Kill),
+            self.step(kill_s + START_AFTER_KILL_S, Action::Start),
+        ]
+    }
+
+    /// Steps of a graceful shutdown with further signals before and after its SIGTERM.
+    fn signal_series_steps(&self, from: f64, kill_after_s: f64) -> Vec<Step> {
+        let term_s = from + SERIES_TERM_S;
+        let mut steps = vec![
+            self.step(from, Action::Reload),
+            self.step(from + 0.05, Action::ReloadHalf),
+            self.step(from + 0.1, Action::Reload),
+            self.step(term_s + 0.02, Action::Reload),
+            self.step(term_s + 0.05, Action::Term),
+            self.step(term_s + 0.1, Action::Reload),
+        ];
+        steps.extend(self.shutdown_steps(term_s, kill_after_s));
+        steps
+    }
+
     /// Steps of a fault that one action starts and another action ends.
     fn start_and_end_steps(&self, from: f64, to: f64) -> Vec<Step> {
         let start_action = match self.kind {
@@ -223,6 +277,7 @@
             FaultKind::BackendCut => Action::BackendCut,
             FaultKind::BackendCutOut => Action::BackendCutOut,
             FaultKind::AnswerTwice => Action::AnswerTwice,
+            FaultKind::AnswerTwiceLate => Action::AnswerTwiceLate,
             FaultKind::AnswerInPieces => Action::AnswerInPieces,
             _ => return Vec::new(),
         };
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -29,6 +29,9 @@
 /// 64-bit values.
 const SEED_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// Mask that is combined (XOR) with a seed's value for the random stream of the additional fault.
+const ADDITIONAL_MASK: u64 = 0xadd;
+
 /// Fleet, settings and faults that a seed has drawn.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -68,7 +71,11 @@
         expect: Vec::new(),
     };
     let count = 2 + random.integer_below(2);
-    let faults = (0..count).map(|_| draw_fault(&mut random)).collect();
+    let mut faults: Vec<PlannedFault> = (0..count)
+        .map(|_| draw_fault(&FaultKind::ALL, &mut random))
+        .collect();
+    let mut random = RandomSource::from_seed(seed.wrapping_mul(SEED_MULTIPLIER) ^ ADDITIONAL_MASK);
+    faults.push(draw_fault(&FaultKind::ADDITIONAL, &mut random));
     Plan {
         seed,
         base,
@@ -137,9 +144,9 @@
     }
 }
 
-fn draw_fault(random: &mut RandomSource) -> PlannedFault {
+fn draw_fault(kinds: &[FaultKind], random: &mut RandomSource) -> PlannedFault {
     let part_start = random.unit() * 0.7;
-    let kind = random.choose(&FaultKind::ALL);
+    let kind = random.choose(kinds);
     let from_s = 2.5 + 2.5 * random.unit();
     let duration_s = 0.5 + 2.5 * random.unit();
     let part = [part_start, part_start + 0.15 + 0.15 * random.unit()];
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -62,6 +62,7 @@
     soak_with_seed_2_breaks_no_rule 2,
     soak_with_seed_3_breaks_no_rule 3,
     soak_with_seed_4_breaks_no_rule 4,
+    soak_with_seed_7_breaks_no_rule 7,
 }
 
 #[test]
@@ -104,6 +105,7 @@
          IdempotencyKey 1000 ms; \
          Restart at 3.71 s for 2.77 s of 0.08 to 0.37; \
          BackendCrash at 3.69 s for 1.65 s of 0.03 to 0.28; \
-         Reloads at 4.80 s for 2.91 s of 0.20 to 0.49";
+         Reloads at 4.80 s for 2.91 s of 0.20 to 0.49; \
+         Crowd at 3.92 s for 1.96 s of 0.59 to 0.77";
     assert_eq!(soak::draw_plan(7, NODES).to_string(), recorded);
 }
