upstream: a file for answers and one for postponed attempts (pure moves)

Change: answer.rs has what an answer means for attempt and connection, postponed.rs the attempts that wait for a connection; no behaviour changes.

--- a/crates/node/src/upstream/close_reason.rs
+++ b/crates/node/src/upstream/close_reason.rs
@@ -1,6 +1,6 @@
 //! Why an upstream connection was closed.
 
-use super::connection::Reuse;
+use super::answer::Reuse;
 
 /// Why an upstream connection was closed; counted and traced by name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -7,10 +7,11 @@
 use rustix::io::Errno;
 use rustix::net::sockopt;
 
+use super::answer::{Answer, Reuse, outcome};
 use super::attempt::{AttemptLimits, UpstreamAttempt};
 use crate::clock::{Clock, MS};
 use crate::event_loop::{EventLoop, MIN_RETRY, READ, READ_WRITE, TimerEvent, Token};
-use crate::http1::{Head, MAX_HEAD, MAX_REQUEST_BODY, Parser, Start};
+use crate::http1::{Head, MAX_HEAD, MAX_REQUEST_BODY, Parser};
 use crate::net::{self, Registration, Unread};
 use crate::ring_buffer::{Body, BufferBudget, ReadOutcome, RingBuffer, WriteOutcome};
 use crate::rules::WritePermit;
@@ -39,28 +40,6 @@
     Idle,
 }
 
-/// Whether a connection can carry another request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reuse {
-    /// The connection can carry another request.
-    Yes,
-    /// The connection must be closed: it has ended or closes after this answer, the answer came
-    /// before the request was completely written, or the kernel can't tell what is unread.
-    No,
-    /// Bytes were received that belong to no expected answer: the connection must be closed.
-    UnexpectedBytes,
-}
-
-/// A complete answer from a backend.
-pub struct Answer {
-    /// Status and headers, including those that are not forwarded to the client.
-    pub head: Head,
-    /// Body of the answer; may be empty.
-    pub body: Body,
-    /// Whether the connection can carry another request.
-    pub reuse: Reuse,
-}
-
 /// Result of advancing a connection as far as its socket allows.
 pub enum Progress {
     /// Nothing more can be done until the socket is ready.
@@ -432,23 +411,6 @@
     }
 }
 
-/// The outcome of an attempt by the status and headers of the backend's answer.
-pub fn outcome(head: &Head) -> Outcome {
-    match head.start {
-        Start::Response { status: 200 } => Outcome::Success,
-        // A timeout (408), a request that came too early (425) and overload (429) are reported by a
-        // 4xx too, but the request is not at fault.
-        Start::Response {
-            status: 408 | 425 | 429,
-        } => Outcome::Error,
-        Start::Response { status: 400..=499 } => Outcome::BadRequest,
-        Start::Response { status: 503 | 504 } if head.unique("x-turned-away") == Ok(Some("1")) => {
-            Outcome::Overloaded
-        }
-        _ => Outcome::Error,
-    }
-}
-
 #[cfg(test)]
 #[path = "connection_tests.rs"]
 mod tests;
--- a/crates/node/src/upstream/table.rs
+++ b/crates/node/src/upstream/table.rs
@@ -5,10 +5,12 @@
 use kitefork_balancer::{BackendId, Nanos, Outcome};
 use rustix::io::Errno;
 
+use super::answer::{Answer, Reuse};
 use super::attempt::{AttemptLimits, PostponedDial, UpstreamAttempt};
 use super::close_reason::UpstreamCloseReason;
-use super::connection::{Answer, Progress, Reuse, UpstreamConnection, UpstreamState};
+use super::connection::{Progress, UpstreamConnection, UpstreamState};
 use super::pool::{IdleConnection, Pool};
+use super::postponed::PostponedDials;
 use crate::diagnostics::Diagnostics;
 use crate::errno::{self, ErrorClass};
 use crate::event_loop::{EventLoop, MIN_RETRY, TimerEvent};
@@ -44,7 +46,7 @@
 pub struct UpstreamConnections {
     table: Slab<UpstreamConnection>,
     pool: Pool,
-    postponed: Vec<PostponedDial>,
+    postponed: PostponedDials,
     connect_timeout: Nanos,
     idle_timeout: Nanos,
 }
@@ -57,7 +59,7 @@
         UpstreamConnections {
             table: Slab::new(capacity),
             pool: Pool::default(),
-            postponed: Vec::new(),
+            postponed: PostponedDials::default(),
             connect_timeout,
             // Clearly before the backend's machine closes the connection: a request that is sent
             // while that happens ends in a reset.
@@ -101,7 +103,7 @@
     /// Whether a request has an attempt that is postponed or not completely written, and so was not
     /// executed.
     pub fn has_unwritten(&self, request: u32) -> bool {
-        self.find_postponed(request).is_some() || self.find_unwritten(request).is_some()
+        self.postponed.contains(request) || self.find_unwritten(request).is_some()
     }
 
     /// Numbers of the connections to a backend that are not established yet.
@@ -399,30 +401,18 @@
         Some(evicted.is_some())
     }
 
-    /// Postpones an attempt whose connection can't be started for lack of local resources.
-    /// Postponed dials are retried after [`MIN_RETRY`].
+    /// Postpones an attempt that has no connection; see [`PostponedDials::add`].
     pub fn postpone(&mut self, dial: PostponedDial, event_loop: &mut EventLoop) {
-        if self.postponed.is_empty() {
-            let at = event_loop.now() + MIN_RETRY;
-            event_loop.schedule(at, TimerEvent::RetryPostponedDials);
-        }
-        self.postponed.push(dial);
+        self.postponed.add(dial, event_loop);
     }
 
     /// Removes and returns all postponed dials, to try them again.
     pub fn take_postponed(&mut self) -> Vec<PostponedDial> {
-        std::mem::take(&mut self.postponed)
-    }
-
-    fn find_postponed(&self, request: u32) -> Option<usize> {
-        self.postponed
-            .iter()
-            .position(|dial| dial.attempt.request() == Some(request))
+        self.postponed.take_all()
     }
 
     /// Removes and returns the postponed attempt of a request, if it has one.
     pub fn remove_postponed(&mut self, request: u32) -> Option<UpstreamAttempt> {
-        let position = self.find_postponed(request)?;
-        Some(self.postponed.remove(position).attempt)
+        self.postponed.remove(request)
     }
 }
