Referee: what a cut link held back counts as sent before the cut ended

Cause: the remaining time that a backend is sent was judged at its arrival. A request that is written to a cut link arrives when the cut is over, by no doing of the node. Change: cuts are recorded; an attempt that arrives within a cut or 0.15 s after it is judged by the start of the cut, or of the request if that is later. All else is judged as before.

--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -28,7 +28,7 @@
 pub use usage::ResourceUsage;
 
 use crate::node::{Node, ProcessSettings};
-use crate::referee::{BackendStart, Pause, Records, Rules};
+use crate::referee::{BackendCut, BackendStart, Pause, Records, Rules};
 use crate::report::{Measurements, Report};
 use crate::scenario::{Scenario, duration_from_secs};
 
@@ -72,6 +72,7 @@
     admitted: Vec<AtomicBool>,
     pauses: Mutex<Vec<Pause>>,
     backend_starts: Mutex<Vec<BackendStart>>,
+    backend_cuts: Mutex<Vec<BackendCut>>,
     usage: Mutex<ResourceUsage>,
 }
 
@@ -167,6 +168,7 @@
             admitted: nodes.map(|_| AtomicBool::new(false)).collect(),
             pauses: Mutex::default(),
             backend_starts: Mutex::default(),
+            backend_cuts: Mutex::default(),
             usage: Mutex::default(),
         })
     }
@@ -192,6 +194,7 @@
             incarnations: nodes.flat_map(|node| locked(node).incarnations()).collect(),
             pauses: locked(&self.pauses).clone(),
             backend_starts: locked(&self.backend_starts).clone(),
+            backend_cuts: locked(&self.backend_cuts).clone(),
         }
     }
 
--- a/crates/testbed/src/cluster/actions.rs
+++ b/crates/testbed/src/cluster/actions.rs
@@ -13,7 +13,7 @@
 
 use super::Cluster;
 use super::timeline::Event;
-use crate::referee::{BackendStart, Pause};
+use crate::referee::{BackendCut, BackendStart, Pause};
 use crate::scenario::{Action, Target};
 
 /// Time that a resumed node is given to process what arrived while it was stopped.
@@ -156,7 +156,7 @@
                 self.schedule_removal(event.number);
             }
             Action::BackendKill => {
-                link.set_state(LinkState::Refused);
+                self.set_link_state(backend, LinkState::Refused);
                 link.reset();
                 self.schedule_removal(event.number);
             }
@@ -165,19 +165,37 @@
             Action::BackendFails => backend.set_mode(BackendMode::Fails),
             Action::BackendWorks => {
                 backend.set_mode(BackendMode::Serves(event.size));
-                link.set_state(LinkState::Healthy);
+                self.set_link_state(backend, LinkState::Healthy);
                 link.set_write_behaviour(WriteBehaviour::Unchanged);
             }
             Action::AnswerTwiceLate => link.set_write_behaviour(WriteBehaviour::DuplicatedLate),
             Action::AnswerTwice => link.set_write_behaviour(WriteBehaviour::Duplicated),
             Action::AnswerInPieces => link.set_write_behaviour(WriteBehaviour::InPieces),
-            Action::BackendCut => link.set_state(LinkState::Cut),
-            Action::BackendCutOut => link.set_state(LinkState::OutboundCut),
+            Action::BackendCut => self.set_link_state(backend, LinkState::Cut),
+            Action::BackendCutOut => self.set_link_state(backend, LinkState::OutboundCut),
             Action::BackendReset => link.reset(),
             action => unreachable!("{action:?} is not an action on backends"),
         }
     }
 
+    /// Sets the state of the link to a backend, and records the start and the end of a cut.
+    fn set_link_state(&self, backend: &Backend, state: LinkState) {
+        let now = self.clock.now();
+        let mut cuts = locked(&self.backend_cuts);
+        let is_open = |cut: &&mut BackendCut| cut.uid == backend.uid && cut.until == Duration::MAX;
+        for cut in cuts.iter_mut().filter(is_open) {
+            cut.until = now;
+        }
+        if state == LinkState::Cut {
+            cuts.push(BackendCut {
+                uid: backend.uid.clone(),
+                from: now,
+                until: Duration::MAX,
+            });
+        }
+        backend.link.set_state(state);
+    }
+
     fn set_listed_state(&self, number: usize, state: EndpointState) {
         self.discovery.publish_change(Endpoint {
             state,
@@ -195,7 +213,7 @@
 
     fn start_backend(&self, number: usize, backend: &Backend) {
         backend.restart();
-        backend.link.set_state(LinkState::Healthy);
+        self.set_link_state(backend, LinkState::Healthy);
         locked(&self.backend_starts).push(BackendStart {
             uid: backend.uid.clone(),
             at: self.clock.now(),
--- a/crates/testbed/src/referee.rs
+++ b/crates/testbed/src/referee.rs
@@ -62,6 +62,18 @@
     pub at: Duration,
 }
 
+/// A period in which no bytes passed on the link to a backend. What nodes wrote meanwhile arrived
+/// at its end.
+#[derive(Clone, Debug)]
+pub struct BackendCut {
+    /// Name of the backend in the endpoint list.
+    pub uid: String,
+    /// Time at which the link was cut.
+    pub from: Duration,
+    /// End of the cut; [`Duration::MAX`] while it lasts.
+    pub until: Duration,
+}
+
 /// What the stand-ins and the testbed recorded in a run, for the referee.
 #[derive(Default)]
 pub struct Records {
@@ -81,6 +93,8 @@
     pub pauses: Vec<Pause>,
     /// Restarts of backends, in order of time.
     pub backend_starts: Vec<BackendStart>,
+    /// Cuts of the links to backends, in order of their starts.
+    pub backend_cuts: Vec<BackendCut>,
 }
 
 /// Attempts of each request in order of arrival, by `X-Txn`.
--- a/crates/testbed/src/referee/requests.rs
+++ b/crates/testbed/src/referee/requests.rs
@@ -22,7 +22,6 @@
     attempts: &[&Attempt],
 ) -> Vec<Rule> {
     let mut broken = Vec::new();
-    let deadline = record.request.planned + record.request.client_timeout;
     broken.extend(wrong_answer(record, attempts));
     broken.extend(missing_or_late_answer(rules, records, record));
     broken.extend(concurrent_attempts(attempts));
@@ -31,7 +30,7 @@
         record.request.idempotency,
         attempts,
     ));
-    broken.extend(excessive_remaining_time(deadline, attempts));
+    broken.extend(excessive_remaining_time(records, record, attempts));
     broken
 }
 
@@ -153,9 +152,15 @@
 }
 
 /// Checks that the remaining time that a backend is sent is at most that of the client, with slack.
-fn excessive_remaining_time(deadline: Duration, attempts: &[&Attempt]) -> Option<Rule> {
+fn excessive_remaining_time(
+    records: &Records,
+    record: &RequestRecord,
+    attempts: &[&Attempt],
+) -> Option<Rule> {
+    let deadline = record.request.planned + record.request.client_timeout;
     let is_excessive = |attempt: &&Attempt| {
-        let client_remaining = deadline.saturating_sub(attempt.arrived);
+        let sent = earliest_send_time(records, record, attempt);
+        let client_remaining = deadline.saturating_sub(sent);
         let limit = client_remaining + REMAINING_TIME_SLACK + OBSERVATION_DELAY;
         attempt
             .remaining_time
@@ -166,3 +171,16 @@
         .any(is_excessive)
         .then_some(Rule::RemainingTimeTooLong)
 }
+
+/// Earliest time at which an attempt can have been sent: its arrival, unless the link to the
+/// backend was cut until then; in that case the start of the cut or, if later, of the request.
+fn earliest_send_time(records: &Records, record: &RequestRecord, attempt: &Attempt) -> Duration {
+    let held_back = records.backend_cuts.iter().find(|cut| {
+        cut.uid == attempt.uid
+            && cut.from <= attempt.arrived
+            && attempt.arrived <= cut.until.saturating_add(OBSERVATION_DELAY)
+    });
+    held_back.map_or(attempt.arrived, |cut| {
+        cut.from.max(record.request.planned).min(attempt.arrived)
+    })
+}
--- a/crates/testbed/src/referee_tests.rs
+++ b/crates/testbed/src/referee_tests.rs
@@ -199,6 +199,35 @@
     }
 }
 
+#[test]
+fn remaining_time_counts_from_the_start_of_a_cut_that_held_the_attempt_back() {
+    const TOO_LONG: &[&str] = &["a backend was sent a longer remaining time than the client has"];
+    // The client's timeout is 500 ms from 1,000 ms on, and the slack 300 ms.
+    for (uid, from, until, remaining, expected) in [
+        ("a", 900, 1_400, 800, &[][..]),
+        ("a", 900, 1_400, 801, TOO_LONG),
+        ("a", 1_100, 1_400, 700, &[]),
+        ("a", 1_100, 1_400, 701, TOO_LONG),
+        ("a", 900, 1_249, 401, TOO_LONG),
+        ("b", 900, 1_400, 401, TOO_LONG),
+    ] {
+        let mut attempt = attempt("a", 1, 1_400, 1_450, Served);
+        attempt.remaining_time = Some(MS(remaining));
+        let cut = BackendCut {
+            uid: uid.into(),
+            from: MS(from),
+            until: MS(until),
+        };
+        let records = Records {
+            requests: vec![record(Idempotent, served(), 1_450)],
+            attempts: vec![attempt],
+            backend_cuts: vec![cut],
+            ..Records::default()
+        };
+        assert_eq!(broken_rules(&records), expected, "{uid} {from} {remaining}");
+    }
+}
+
 /// An incarnation of node 3. `stop` has the time of the first signal and whether SIGKILL was sent,
 /// `exit` the time of the end and the exit code; times are in milliseconds.
 fn incarnation(stop: Option<(u64, bool)>, exit: Option<(u64, Option<i32>)>) -> Incarnation {
