Let a case that fails by an unexpected error exit with 2, not 1

Need: the exit code 1 says that the rule was broken, and Python gives the same code for an unexpected error.

Measured: case 2 exits with 1 as before; a case without the built program and one ended by SIGTERM exit with 2 and leave no process.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -311,7 +311,8 @@
     stop_on_signals()
     try:
         broken = play()
-    except (CannotRun, KeyboardInterrupt, OSError) as error:
+    except (Exception, KeyboardInterrupt) as error:
+        # Python's own exit code for an unexpected error is 1, which here says that the rule was broken.
         print(f"could not run: {error!r}")
         os._exit(2)
     for line in broken[:20]:
