Let case 3 show its fault on machines of any number of cores

On two cores the case met its fault so often that fewer than 1,000 requests were served, and it ended with 2 instead of 1; on one core it never met the fault. In all three cases, too few served requests end with 2 only if no rule was broken.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -134,7 +134,7 @@
     for line in broken:
         record(line)
     record.close()
-    if len(served) < 200 or (trouble() and spoilt < 5):
+    if not broken and (len(served) < 200 or (trouble() and spoilt < 5)):
         raise CannotRun("too few requests were served, or too few answers were spoilt")
     return broken
 
