Let tests that stop the node wait until its write has returned

Its trace: the node writes the request, the test sees it at the backend and sends SIGSTOP before the node's send() has returned, and serves the answer. When the node goes on, the write has taken 450 ms and an answer is unread, so it ends the attempt (`upstream-closed why=unexpected_bytes`, `outcome=Reset`) and answers 502. That is the rule for a write that is held up, where an answer may be older than its request; this test is about an iteration with many events, not about it.

Change: this test and the two others that serve an answer to a stopped node wait for the node's iteration to end before they stop it. What they check afterwards is unchanged; the two others could pass before without reaching the race that they are about.

--- a/crates/node/tests/races/connections.rs
+++ b/crates/node/tests/races/connections.rs
@@ -77,6 +77,9 @@
     client.send(&report_request("slow", 400));
     let mut backend = node.backend.accept();
     backend.expect("body");
+    // The write of the request has returned by then: an answer during a write that takes long is
+    // not forwarded, as it may be older than the request.
+    node.wait_for_iteration();
     node.stall();
     for other_client in &mut other_clients {
         other_client.send(HEALTH_CHECK);
--- a/crates/node/tests/races/disconnects.rs
+++ b/crates/node/tests/races/disconnects.rs
@@ -53,6 +53,7 @@
     client.send(&report_request("first", 5000));
     let mut backend = node.backend.accept();
     backend.expect("body");
+    node.wait_for_iteration();
     node.stall();
     client.send(&report_request("second", 5000));
     backend.serve("200 OK", "served");
@@ -89,6 +90,7 @@
         })
     });
     first.expect("body");
+    node.wait_for_iteration();
     node.stall();
     first.serve("503 Service Unavailable\r\nX-Turned-Away: 1", "");
     client.close();
