Fail answers that are longer than their Content-Length instead of cutting them

Cause: UpstreamConnection::complete used the bytes behind an answer only to decide about the reuse of its connection, and forwarded the answer.

Change: with more bytes behind it than its length allows, an answer is a failed attempt that may have been executed, whatever its status (log word `length-mismatch`). It is served where its end is certain: its body is chunked, or a complete copy of it follows. If the kernel can't tell what follows, the answer is kept until it can. A good answer with noise behind it can't be told from a cut one and fails too, which breaks no rule.

--- a/crates/node/src/http1/head.rs
+++ b/crates/node/src/http1/head.rs
@@ -45,7 +45,7 @@
     },
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct Header {
     /// The name, in lower case.
     name: String,
@@ -54,7 +54,7 @@
 }
 
 /// The start line and the headers of a message, the headers in the order of their receipt.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Head {
     /// The start line: a request line or a status line.
     pub start: Start,
@@ -113,6 +113,12 @@
         self.has_token("expect", "100-continue")
     }
 
+    /// Whether the body of a parsed message consists of chunks: the parser accepts no other
+    /// transfer coding.
+    pub fn is_chunked(&self) -> bool {
+        self.values("transfer-encoding").next().is_some()
+    }
+
     /// Names, in lower case, and values of the headers that the proxy forwards: all except
     /// [`NEVER_FORWARDED`] and those that `Connection` lists.
     pub fn end_to_end_headers(&self) -> impl Iterator<Item = (&str, &str)> {
--- a/crates/node/src/node/upstream.rs
+++ b/crates/node/src/node/upstream.rs
@@ -143,9 +143,8 @@
             None => {}
             Some(UpstreamEvent::Connected) => self.begin_request(number),
             Some(UpstreamEvent::Answered(answer)) => self.handle_answer(number, answer),
-            Some(UpstreamEvent::Failed(outcome)) => self.end_attempt(number, outcome),
-            Some(UpstreamEvent::UnexpectedBytes(outcome)) => {
-                self.close_and_report(number, outcome, UpstreamCloseReason::UnexpectedBytes);
+            Some(UpstreamEvent::Failed(outcome, reason)) => {
+                self.close_and_report(number, outcome, reason);
             }
         }
     }
--- a/crates/node/src/upstream/close_reason.rs
+++ b/crates/node/src/upstream/close_reason.rs
@@ -12,6 +12,8 @@
     NotReusable,
     /// Bytes were received that are not part of the answer to a request on the connection.
     UnexpectedBytes,
+    /// The answer was followed by more bytes than its `Content-Length` allows, and failed.
+    LengthMismatch,
     /// The connection was idle for too long.
     IdleTimeout,
     /// The node closed the idle connection to free its descriptor.
@@ -27,6 +29,7 @@
             UpstreamCloseReason::AttemptEnded => "attempt_ended",
             UpstreamCloseReason::NotReusable => "not_reusable",
             UpstreamCloseReason::UnexpectedBytes => "unexpected_bytes",
+            UpstreamCloseReason::LengthMismatch => "length_mismatch",
             UpstreamCloseReason::IdleTimeout => "idle_timeout",
             UpstreamCloseReason::Evicted => "evicted",
             UpstreamCloseReason::BackendNotReady => "backend_not_ready",
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -55,6 +55,9 @@
     /// Bytes were received that may be older than the request, so they can't be taken for its
     /// answer. The attempt has failed with this outcome.
     UnexpectedBytes(Outcome),
+    /// More bytes followed the answer than its `Content-Length` allows, so its body may be cut off.
+    /// The attempt has failed with this outcome.
+    LengthMismatch(Outcome),
     /// An idle connection can't be reused, for this reason, and must be closed.
     Stale(Reuse),
 }
@@ -78,6 +81,8 @@
     outbox: RingBuffer,
     inbox: RingBuffer,
     parser: Parser,
+    /// A complete answer, while it is not known yet what follows it.
+    unchecked_answer: Option<(Head, Body)>,
     deadline: Deadline,
     registration: Registration,
 }
@@ -107,6 +112,7 @@
             parser: Parser::responses()
                 .allow_close_delimited()
                 .with_budget(budget),
+            unchecked_answer: None,
             deadline: Deadline::new(),
             registration: Registration::default(),
         }
@@ -276,7 +282,7 @@
 
     /// Whether a part of an answer was received.
     fn has_received_part(&self) -> bool {
-        !self.inbox.is_empty() || !self.parser.is_at_start()
+        !self.inbox.is_empty() || !self.parser.is_at_start() || self.unchecked_answer.is_some()
     }
 
     fn write(&mut self) -> WriteOutcome {
@@ -289,6 +295,9 @@
 
     fn read(&mut self) -> Progress {
         loop {
+            if let Some((head, body)) = self.unchecked_answer.take() {
+                return self.complete(head, body, false);
+            }
             let is_end_of_stream = match self.inbox.read_from(&self.socket) {
                 ReadOutcome::Data if self.state == UpstreamState::Idle => {
                     return Progress::Stale(Reuse::UnexpectedBytes);
@@ -315,29 +324,57 @@
         }
     }
 
-    /// Checks a complete answer and whether the connection can be reused. `is_end_of_stream` says
-    /// that the connection ended with the answer.
+    /// Checks a complete answer, what follows it, and whether the connection can be reused.
+    /// `is_end_of_stream` says that the connection ended with the answer.
     fn complete(&mut self, head: Head, body: Body, is_end_of_stream: bool) -> Progress {
         let is_sent = self.state == UpstreamState::Waiting;
         // A success before the request is completely sent can't be the answer to this request.
         if !is_sent && outcome(&head) == Outcome::Success {
             return Progress::UnexpectedBytes(Outcome::ConnectFailed);
         }
-        // A connection with bytes after the answer is not reused: they would be taken for the
-        // answer to the next request.
         let following_read = if is_end_of_stream {
             ReadOutcome::EndOfStream
         } else {
             self.inbox.read_from(&self.socket)
         };
-        let reuse = match following_read {
-            _ if !self.inbox.is_empty() => Reuse::UnexpectedBytes,
-            ReadOutcome::WouldBlock if head.keep_alive && is_sent => Reuse::Yes,
-            _ => Reuse::No,
-        };
+        if self.inbox.is_empty() {
+            let reuse = match following_read {
+                ReadOutcome::RetryLater => {
+                    self.unchecked_answer = Some((head, body));
+                    return Progress::RetryLater;
+                }
+                ReadOutcome::WouldBlock if head.keep_alive && is_sent => Reuse::Yes,
+                _ => Reuse::No,
+            };
+            return Progress::Answered(Answer { head, body, reuse });
+        }
+        // The end of a chunked body is marked, but a `Content-Length` that is too short looks like
+        // a correct one with other bytes behind the body.
+        if !head.is_chunked() && !self.is_copy_next(&head, &body) {
+            return Progress::LengthMismatch(self.outcome_if_closed(Outcome::Reset));
+        }
+        // A connection with bytes after the answer is not reused: they would be taken for the
+        // answer to the next request.
+        let reuse = Reuse::UnexpectedBytes;
         Progress::Answered(Answer { head, body, reuse })
     }
 
+    /// Whether the bytes behind an answer begin with a complete copy of it. The bytes are consumed.
+    fn is_copy_next(&mut self, head: &Head, body: &Body) -> bool {
+        loop {
+            let Ok(consumed) = self.parser.feed(self.inbox.bytes()) else {
+                return false;
+            };
+            self.inbox.consume(consumed);
+            if let Some((next_head, next_body)) = self.parser.take_message() {
+                return next_head == *head && *next_body == **body;
+            }
+            if self.inbox.read_from(&self.socket) != ReadOutcome::Data {
+                return false;
+            }
+        }
+    }
+
     fn closed_by_peer(&self) -> Progress {
         if self.state == UpstreamState::Idle {
             Progress::Stale(Reuse::No)
--- a/crates/node/src/upstream/table.rs
+++ b/crates/node/src/upstream/table.rs
@@ -35,11 +35,15 @@
     Connected,
     /// A complete answer to the attempt was received.
     Answered(Answer),
-    /// The attempt has failed with this outcome, and the connection must be closed.
-    Failed(Outcome),
-    /// Bytes were received that may be older than the request: the attempt has failed with this
-    /// outcome, and the connection must be closed.
-    UnexpectedBytes(Outcome),
+    /// The attempt has failed with this outcome, and the connection must be closed for this reason.
+    Failed(Outcome, UpstreamCloseReason),
+}
+
+impl UpstreamEvent {
+    /// The attempt has failed with this outcome, without an answer.
+    fn attempt_ended(outcome: Outcome) -> UpstreamEvent {
+        UpstreamEvent::Failed(outcome, UpstreamCloseReason::AttemptEnded)
+    }
 }
 
 /// All upstream connections, including idle ones, and the dials that are postponed.
@@ -143,7 +147,8 @@
     }
 
     /// Closes and returns the connection with this number; `None` if it is already closed. Counts
-    /// and traces the reason; unexpected bytes are also logged and recorded by the pool.
+    /// and traces the reason; bytes that belong to no answer are also logged, and unexpected ones
+    /// are recorded by the pool.
     fn discard(
         &mut self,
         number: u32,
@@ -161,6 +166,10 @@
                 reason.name()
             ),
         );
+        if reason == UpstreamCloseReason::LengthMismatch {
+            let details = format_args!("backend={backend} upstream={number}");
+            diagnostics.log(now, "length-mismatch", details);
+        }
         if reason == UpstreamCloseReason::UnexpectedBytes {
             let lateness = connection
                 .last_answer_at()
@@ -265,14 +274,21 @@
     ) -> Option<UpstreamEvent> {
         let connection = self.table.get_mut(number)?;
         if connection.is_overdue(event_loop.now()) {
-            return Some(UpstreamEvent::Failed(Outcome::ConnectFailed));
+            return Some(UpstreamEvent::attempt_ended(Outcome::ConnectFailed));
         }
         let previous_state = connection.state();
         match connection.advance(is_ready, event_loop.clock()) {
             Progress::Connected => Some(UpstreamEvent::Connected),
             Progress::Answered(answer) => Some(UpstreamEvent::Answered(answer)),
-            Progress::Failed(outcome) => Some(UpstreamEvent::Failed(outcome)),
-            Progress::UnexpectedBytes(outcome) => Some(UpstreamEvent::UnexpectedBytes(outcome)),
+            Progress::Failed(outcome) => Some(UpstreamEvent::attempt_ended(outcome)),
+            Progress::UnexpectedBytes(outcome) => {
+                let reason = UpstreamCloseReason::UnexpectedBytes;
+                Some(UpstreamEvent::Failed(outcome, reason))
+            }
+            Progress::LengthMismatch(outcome) => {
+                let reason = UpstreamCloseReason::LengthMismatch;
+                Some(UpstreamEvent::Failed(outcome, reason))
+            }
             Progress::RetryLater => {
                 connection.pause(number, event_loop);
                 None
@@ -312,7 +328,7 @@
         diagnostics.log(now, "epoll-failed", error);
         if errno::of_register(error) != ErrorClass::RetryLater {
             let outcome = connection.outcome_if_closed(Outcome::Reset);
-            return Some(UpstreamEvent::Failed(outcome));
+            return Some(UpstreamEvent::attempt_ended(outcome));
         }
         event_loop.schedule(now + MIN_RETRY, TimerEvent::ResumeUpstream(number));
         None
--- a/crates/node/tests/protocol_rules/mod.rs
+++ b/crates/node/tests/protocol_rules/mod.rs
@@ -4,6 +4,7 @@
 mod deadline;
 mod faults;
 mod half_close;
+mod length_mismatch;
 mod log;
 mod unframed;
 
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -52,6 +52,8 @@
     DuplicatedLate,
     /// The bytes are sent in pieces of a few bytes, with a pause after each piece.
     InPieces,
+    /// In every few writes, the `Content-Length` is replaced by one that is too short for the body.
+    ShortLengths,
 }
 
 /// Maximum lateness of the copy for [`WriteBehaviour::DuplicatedLate`], in milliseconds; copies are
@@ -62,6 +64,11 @@
 /// Pause after each piece for [`WriteBehaviour::InPieces`].
 const PIECE_PAUSE: Duration = Duration::from_millis(1);
 
+/// With [`WriteBehaviour::ShortLengths`], one in so many writes has a wrong length.
+const SHORT_LENGTH_INTERVAL: usize = 5;
+/// Difference between the length of a body and the wrong `Content-Length`, in bytes.
+const MISSING_BYTES: usize = 3;
+
 /// Wakers of the tasks that last polled a connection for reading and for writing.
 #[derive(Debug, Default)]
 struct ConnectionWakers {
@@ -93,6 +100,8 @@
     accepted_connections: AtomicUsize,
     /// Number of copies that [`WriteBehaviour::DuplicatedLate`] has made so far.
     late_copies: AtomicUsize,
+    /// Number of writes with [`WriteBehaviour::ShortLengths`] so far.
+    writes_with_short_lengths: AtomicUsize,
 }
 
 impl Link {
@@ -139,6 +148,18 @@
         !matches!(self.state(), LinkState::Cut | LinkState::OutboundCut)
     }
 
+    /// The bytes that are sent for `bytes` with [`WriteBehaviour::ShortLengths`]; as many bytes.
+    fn shorten_some_lengths(&self, bytes: &[u8]) -> Vec<u8> {
+        let number = self
+            .writes_with_short_lengths
+            .fetch_add(1, Ordering::SeqCst);
+        if number.is_multiple_of(SHORT_LENGTH_INTERVAL) {
+            with_short_length(bytes)
+        } else {
+            bytes.to_vec()
+        }
+    }
+
     fn state(&self) -> LinkState {
         *locked(&self.state)
     }
@@ -349,6 +370,10 @@
                 }
                 written
             }
+            WriteBehaviour::ShortLengths => {
+                let bytes = self.link.shorten_some_lengths(bytes);
+                Pin::new(&mut self.stream).poll_write(context, &bytes)
+            }
             WriteBehaviour::InPieces => {
                 if let Some(pause) = &mut self.pause {
                     std::task::ready!(pause.as_mut().poll(context));
@@ -372,6 +397,31 @@
     }
 }
 
+/// Replaces the `Content-Length` in `bytes` by one that is [`MISSING_BYTES`] less and has as many
+/// digits; returns the bytes unchanged if there is none.
+fn with_short_length(bytes: &[u8]) -> Vec<u8> {
+    const NAME: &[u8] = b"content-length: ";
+    let mut changed = bytes.to_vec();
+    let Some(name_at) = bytes
+        .windows(NAME.len())
+        .position(|window| window.eq_ignore_ascii_case(NAME))
+    else {
+        return changed;
+    };
+    let digits_at = name_at + NAME.len();
+    let width = bytes[digits_at..]
+        .iter()
+        .take_while(|byte| byte.is_ascii_digit())
+        .count();
+    let digits = String::from_utf8_lossy(&bytes[digits_at..digits_at + width]);
+    let Ok(length) = digits.parse::<usize>() else {
+        return changed;
+    };
+    let shorter = format!("{:0width$}", length.saturating_sub(MISSING_BYTES));
+    changed[digits_at..digits_at + width].copy_from_slice(shorter.as_bytes());
+    changed
+}
+
 #[cfg(test)]
 #[path = "link_tests.rs"]
 mod tests;
--- a/crates/standin/src/link_tests.rs
+++ b/crates/standin/src/link_tests.rs
@@ -56,6 +56,7 @@
         (WriteBehaviour::Duplicated, &b"aa"[..]),
         (WriteBehaviour::DuplicatedLate, b"aa"),
         (WriteBehaviour::InPieces, b"a"),
+        (WriteBehaviour::ShortLengths, b"a"),
         (WriteBehaviour::Unchanged, b"a"),
     ] {
         link.set_write_behaviour(behaviour);
@@ -66,6 +67,24 @@
     }
 }
 
+#[test]
+fn one_in_five_content_lengths_is_shortened_without_changing_the_number_of_bytes() {
+    let answer =
+        |length| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n0123456789ab");
+    let link = Link::default();
+    for number in 0..10 {
+        let sent = link.shorten_some_lengths(answer("12").as_bytes());
+        let expected = answer(if number % 5 == 0 { "09" } else { "12" });
+        assert_eq!(String::from_utf8(sent).unwrap(), expected, "{number}");
+    }
+    for unchanged in ["", "HTTP/1.1 200 OK\r\n\r\n", "Content-Length: "] {
+        assert_eq!(
+            with_short_length(unchanged.as_bytes()),
+            unchanged.as_bytes()
+        );
+    }
+}
+
 /// Spawns threads that start processes until `stop` is set. A process that is being started holds
 /// copies of all descriptors of its parent until `exec`.
 fn start_processes(stop: &Arc<AtomicBool>) -> Vec<std::thread::JoinHandle<()>> {
--- a/crates/testbed/src/cluster/actions.rs
+++ b/crates/testbed/src/cluster/actions.rs
@@ -171,6 +171,7 @@
             Action::AnswerTwiceLate => link.set_write_behaviour(WriteBehaviour::DuplicatedLate),
             Action::AnswerTwice => link.set_write_behaviour(WriteBehaviour::Duplicated),
             Action::AnswerInPieces => link.set_write_behaviour(WriteBehaviour::InPieces),
+            Action::AnswerShortLengths => link.set_write_behaviour(WriteBehaviour::ShortLengths),
             Action::BackendCut => self.set_link_state(backend, LinkState::Cut),
             Action::BackendCutOut => self.set_link_state(backend, LinkState::OutboundCut),
             Action::BackendReset => link.reset(),
--- a/crates/testbed/src/scenario.rs
+++ b/crates/testbed/src/scenario.rs
@@ -333,6 +333,8 @@
     AnswerTwiceLate,
     /// Delivers the bytes from backends a few at a time.
     AnswerInPieces,
+    /// Delivers some answers of backends with a `Content-Length` that is too short for the body.
+    AnswerShortLengths,
     /// Cuts the links to backends in both directions.
     BackendCut,
     /// Cuts the links to backends in the direction to the nodes only.
@@ -381,6 +383,7 @@
             | Action::AnswerTwice
             | Action::AnswerTwiceLate
             | Action::AnswerInPieces
+            | Action::AnswerShortLengths
             | Action::BackendCut
             | Action::BackendCutOut
             | Action::BackendReset => Target::Backends,
