Answer 400 to a request behind which bytes come that begin no request

What callers saw: a request whose Content-Length is less than its body was forwarded with the first part of the body, executed, and answered as if it were whole; only then did the rest get 400.

Change: a request is handled only if the bytes behind it may begin a request line (or are empty lines); otherwise it is answered 400 and the connection closes. Pipelined requests pass. Bytes that look like the beginning of a request line can't be told from one.

--- a/crates/node/src/downstream/connection/mod.rs
+++ b/crates/node/src/downstream/connection/mod.rs
@@ -65,7 +65,8 @@
     RetryLater,
     /// One complete message; bytes of further messages may have been received.
     Message(Message),
-    /// The received bytes can't be parsed as a message.
+    /// The received bytes can't be parsed as a message, or can't be parsed as another one behind a
+    /// complete message, whose length is then wrong.
     Invalid(ParseError),
     /// The client has closed its sending side.
     EndOfStream,
@@ -258,6 +259,9 @@
                     self.peer_closed |=
                         self.input
                             .has_peer_closed_after_message(&self.socket, now, arrived_at);
+                    if !self.input.may_hold_next_request() {
+                        return ReadEvent::Invalid(ParseError::Malformed);
+                    }
                 }
                 return event;
             }
--- a/crates/node/src/downstream/input.rs
+++ b/crates/node/src/downstream/input.rs
@@ -5,7 +5,7 @@
 use kitefork_balancer::Nanos;
 
 use super::arrival::ArrivalTracker;
-use crate::http1::{Head, MAX_HEAD, ParseError, Parser};
+use crate::http1::{self, Head, MAX_HEAD, ParseError, Parser};
 use crate::net;
 use crate::ring_buffer::{Body, BufferBudget, ReadOutcome, RingBuffer};
 
@@ -200,6 +200,12 @@
         Ok(())
     }
 
+    /// Whether the bytes behind a complete message, if there are any, may be another request. If
+    /// they can't be, the length of the message is wrong and its body may be cut off.
+    pub fn may_hold_next_request(&mut self) -> bool {
+        http1::may_begin_request(self.inbox.bytes())
+    }
+
     /// Whether the client waits for `100 Continue` before it sends its body, and none was sent yet.
     pub fn awaits_continue(&self) -> bool {
         self.parser.awaits_body()
--- a/crates/node/src/http1.rs
+++ b/crates/node/src/http1.rs
@@ -22,7 +22,7 @@
 mod writer;
 
 pub use error::ParseError;
-pub use head::{Head, Start};
+pub use head::{Head, Start, may_begin_request};
 pub use parser::Parser;
 pub use writer::write;
 
--- a/crates/node/tests/protocol_rules/length_mismatch.rs
+++ b/crates/node/tests/protocol_rules/length_mismatch.rs
@@ -1,5 +1,6 @@
-//! An answer that is longer than its `Content-Length` may be cut off there: it is a failed attempt
-//! that may have been executed. A copy of the answer behind it shows that its length was right.
+//! A message that is longer than its `Content-Length` may be cut off there. Such an answer is a
+//! failed attempt that may have been executed, unless a copy of it follows, which shows that its
+//! length was right. Such a request is answered 400, unless another request may follow.
 
 use crate::common::{Connection, TestNode, report_request};
 
@@ -99,3 +100,49 @@
         assert_eq!(backend.expect_close(), "");
     }
 }
+
+/// Guards against executing a request whose body is cut off, and answering it as if it were whole.
+#[test]
+fn request_longer_than_its_content_length_gets_400_and_is_not_forwarded() {
+    let node = TestNode::start();
+    for rest in [
+        "=900",
+        r#"","listened":900}"#,
+        "\r\nepisode=1",
+        "\u{e9}t\u{e9}",
+        " and more",
+        "more=words and more\r\n\r\n",
+    ] {
+        let mut client = node.client();
+        client.send(&(report_request("cut", 5_000) + rest));
+        let head = client.expect("\r\n\r\n");
+        assert!(head.starts_with("HTTP/1.1 400 "), "{head} with {rest:?}");
+        assert!(head.contains("connection: close\r\n"), "{head}");
+        client.expect_close();
+    }
+    assert!(node.backend.has_no_pending_connection());
+}
+
+/// Guards against rejecting a request behind which another one begins, or an empty line is sent.
+#[test]
+fn request_with_the_beginning_of_another_behind_it_is_forwarded() {
+    for rest in [
+        "\r\n",
+        "\r",
+        "P",
+        "GET",
+        "GET /api",
+        "\r\nPOST /api HTTP/1.1\r\n",
+    ] {
+        let node = TestNode::start();
+        let mut client = node.client();
+        client.send(&(report_request("whole", 5_000) + rest));
+        let mut backend = node.backend.accept();
+        backend.expect("x-txn: whole\r\n");
+        backend.expect("body");
+        backend.serve("200 OK", BODY);
+        let head = client.expect("\r\n\r\n");
+        assert!(head.starts_with("HTTP/1.1 200 "), "{head} with {rest:?}");
+        assert_eq!(client.take(BODY.len()), BODY);
+    }
+}
