Read answers in a module of their own, and test the failing read behind one

Change: AnswerReader owns inbox, parser and the answer that is not checked yet, and says what follows an answer; the connection decides by it. An idle connection is checked by a peek, as check_reuse does.

--- a/crates/node/src/downstream/input.rs
+++ b/crates/node/src/downstream/input.rs
@@ -5,14 +5,10 @@
 use kitefork_balancer::Nanos;
 
 use super::arrival::ArrivalTracker;
-use crate::http1::{self, Head, MAX_HEAD, ParseError, Parser};
+use crate::http1::{self, Head, INBOX_BYTES, MAX_HEAD, ParseError, Parser};
 use crate::net;
 use crate::ring_buffer::{Body, BufferBudget, ReadOutcome, RingBuffer};
 
-/// Capacity of the inbox in addition to a head of the maximum length, in bytes. Without these
-/// bytes, a head above the maximum length would fill the inbox and never be rejected.
-const INBOX_EXTRA_BYTES: usize = 1024;
-
 /// A complete message from a client, and the earliest time at which it can have begun to arrive.
 pub struct Message {
     /// The request line and the headers, including those that are not forwarded.
@@ -47,7 +43,7 @@
     /// `queued_at`. Its buffers are counted against `budget`.
     pub fn new(now: Nanos, queued_at: Nanos, budget: &BufferBudget) -> ClientInput {
         ClientInput {
-            inbox: RingBuffer::new(MAX_HEAD + INBOX_EXTRA_BYTES).with_budget(budget),
+            inbox: RingBuffer::new(INBOX_BYTES).with_budget(budget),
             parser: Parser::requests().with_budget(budget),
             arrival: ArrivalTracker::new(now, queued_at),
             message_started_at: None,
--- a/crates/node/src/http1.rs
+++ b/crates/node/src/http1.rs
@@ -29,6 +29,9 @@
 /// Maximum length of the head of a message, in bytes, including the empty line. Trailers have the
 /// same limit.
 pub const MAX_HEAD: usize = 16 * 1024;
+/// Capacity of the buffer for received bytes that are not parsed yet, in bytes. It exceeds the
+/// maximum length of a head, as a longer one would otherwise fill the buffer and never be rejected.
+pub const INBOX_BYTES: usize = MAX_HEAD + 1024;
 /// Maximum length of the body of a request, in bytes, as the protocol defines it.
 pub const MAX_REQUEST_BODY: usize = 64 * 1024;
 /// Maximum length of the body of a response, in bytes. Some responses are several times as long as
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -8,19 +8,16 @@
 use rustix::net::sockopt;
 
 use super::answer::{Answer, Reuse, outcome};
+use super::answer_reader::{AnswerEvent, AnswerReader, Following, ReceivedAnswer};
 use super::attempt::{AttemptLimits, UpstreamAttempt};
 use crate::clock::{Clock, MS};
 use crate::event_loop::{EventLoop, MIN_RETRY, READ, READ_WRITE, TimerEvent, Token};
-use crate::http1::{Head, MAX_HEAD, MAX_REQUEST_BODY, Parser};
+use crate::http1::{MAX_HEAD, MAX_REQUEST_BODY};
 use crate::net::{self, Registration, Unread};
-use crate::ring_buffer::{Body, BufferBudget, ReadOutcome, RingBuffer, WriteOutcome};
+use crate::ring_buffer::{BufferBudget, RingBuffer, WriteOutcome};
 use crate::rules::WritePermit;
 use crate::timer_wheel::Deadline;
 
-/// Capacity of the inbox in addition to a head of the maximum length, in bytes. Without these
-/// bytes, a head above the maximum length would fill the inbox and never be rejected.
-const INBOX_EXTRA_BYTES: usize = 1024;
-
 /// A write that has taken longer than this, in nanoseconds, may have been delayed before its bytes
 /// were sent, so what can be read right after it may be older than the request.
 const MAX_WRITE_DURATION: Nanos = 5 * MS;
@@ -79,10 +76,7 @@
     /// Length of the request that was put in the outbox last, in bytes.
     request_length: usize,
     outbox: RingBuffer,
-    inbox: RingBuffer,
-    parser: Parser,
-    /// A complete answer, while it is not known yet what follows it.
-    unchecked_answer: Option<(Head, Body)>,
+    answers: AnswerReader,
     deadline: Deadline,
     registration: Registration,
 }
@@ -106,13 +100,7 @@
             // Space for a body and a head as long as a client may send, and for the headers that
             // the node adds.
             outbox: RingBuffer::new(MAX_REQUEST_BODY + 2 * MAX_HEAD).with_budget(budget),
-            inbox: RingBuffer::new(MAX_HEAD + INBOX_EXTRA_BYTES).with_budget(budget),
-            // An answer may have neither a Content-Length nor chunks: an orderly close of the
-            // connection completes it, a reset does not.
-            parser: Parser::responses()
-                .allow_close_delimited()
-                .with_budget(budget),
-            unchecked_answer: None,
+            answers: AnswerReader::new(budget),
             deadline: Deadline::new(),
             registration: Registration::default(),
         }
@@ -248,7 +236,7 @@
             // What was received before the rest is written can't be the answer to the request, so
             // it is read first.
             match self.read() {
-                Progress::Pending if self.has_received_part() => {
+                Progress::Pending if self.answers.has_received_part() => {
                     return Progress::UnexpectedBytes(Outcome::ConnectFailed);
                 }
                 Progress::Pending => {}
@@ -280,11 +268,6 @@
         self.state == UpstreamState::Sending && self.outbox.len() < self.request_length
     }
 
-    /// Whether a part of an answer was received.
-    fn has_received_part(&self) -> bool {
-        !self.inbox.is_empty() || !self.parser.is_at_start() || self.unchecked_answer.is_some()
-    }
-
     fn write(&mut self) -> WriteOutcome {
         let write_outcome = self.outbox.write_to(&self.socket);
         if self.outbox.is_empty() {
@@ -294,95 +277,53 @@
     }
 
     fn read(&mut self) -> Progress {
-        loop {
-            if let Some((head, body)) = self.unchecked_answer.take() {
-                return self.complete(head, body, false);
-            }
-            let is_end_of_stream = match self.inbox.read_from(&self.socket) {
-                ReadOutcome::Data if self.state == UpstreamState::Idle => {
-                    return Progress::Stale(Reuse::UnexpectedBytes);
-                }
-                ReadOutcome::Data => false,
-                ReadOutcome::WouldBlock | ReadOutcome::BufferFull => return Progress::Pending,
-                ReadOutcome::RetryLater => return Progress::RetryLater,
-                ReadOutcome::EndOfStream if self.state == UpstreamState::Idle => {
-                    return self.closed_by_peer();
-                }
-                ReadOutcome::EndOfStream => true,
-                ReadOutcome::Broken => return self.closed_by_peer(),
-            };
-            let Ok(consumed) = self.parser.feed(self.inbox.bytes()) else {
-                return Progress::Failed(self.outcome_if_closed(Outcome::Reset));
-            };
-            self.inbox.consume(consumed);
-            if is_end_of_stream && !self.parser.end_of_input() {
-                return self.closed_by_peer();
-            }
-            if let Some((head, body)) = self.parser.take_message() {
-                return self.complete(head, body, is_end_of_stream);
+        if self.state == UpstreamState::Idle {
+            return self.check_idle();
+        }
+        match self.answers.read(&self.socket) {
+            AnswerEvent::Incomplete => Progress::Pending,
+            AnswerEvent::RetryLater => Progress::RetryLater,
+            AnswerEvent::Complete(received) => self.complete(received),
+            AnswerEvent::Malformed | AnswerEvent::Ended => {
+                Progress::Failed(self.outcome_if_closed(Outcome::Reset))
             }
         }
     }
 
-    /// Checks a complete answer, what follows it, and whether the connection can be reused.
-    /// `is_end_of_stream` says that the connection ended with the answer.
-    fn complete(&mut self, head: Head, body: Body, is_end_of_stream: bool) -> Progress {
+    /// Checks an idle connection whose socket has become ready.
+    fn check_idle(&self) -> Progress {
+        match self.unread() {
+            Unread::Nothing => Progress::Pending,
+            Unread::Bytes => Progress::Stale(Reuse::UnexpectedBytes),
+            Unread::Closed => Progress::Stale(Reuse::No),
+            Unread::Unknown => Progress::RetryLater,
+        }
+    }
+
+    /// Decides about a complete answer, and whether the connection can be reused.
+    fn complete(&self, received: ReceivedAnswer) -> Progress {
+        let ReceivedAnswer {
+            head,
+            body,
+            following,
+        } = received;
         let is_sent = self.state == UpstreamState::Waiting;
         // A success before the request is completely sent can't be the answer to this request.
         if !is_sent && outcome(&head) == Outcome::Success {
             return Progress::UnexpectedBytes(Outcome::ConnectFailed);
         }
-        let following_read = if is_end_of_stream {
-            ReadOutcome::EndOfStream
-        } else {
-            self.inbox.read_from(&self.socket)
+        let reuse = match following {
+            Following::PossibleRest => {
+                return Progress::LengthMismatch(self.outcome_if_closed(Outcome::Reset));
+            }
+            Following::Nothing if head.keep_alive && is_sent => Reuse::Yes,
+            Following::Nothing | Following::End => Reuse::No,
+            // They would be taken for the answer to the next request.
+            Following::OtherBytes => Reuse::UnexpectedBytes,
         };
-        if self.inbox.is_empty() {
-            let reuse = match following_read {
-                ReadOutcome::RetryLater => {
-                    self.unchecked_answer = Some((head, body));
-                    return Progress::RetryLater;
-                }
-                ReadOutcome::WouldBlock if head.keep_alive && is_sent => Reuse::Yes,
-                _ => Reuse::No,
-            };
-            return Progress::Answered(Answer { head, body, reuse });
-        }
-        // The end of a chunked body is marked, but a `Content-Length` that is too short looks like
-        // a correct one with other bytes behind the body.
-        if !head.is_chunked() && !self.is_copy_next(&head, &body) {
-            return Progress::LengthMismatch(self.outcome_if_closed(Outcome::Reset));
-        }
-        // A connection with bytes after the answer is not reused: they would be taken for the
-        // answer to the next request.
-        let reuse = Reuse::UnexpectedBytes;
         Progress::Answered(Answer { head, body, reuse })
     }
 
-    /// Whether the bytes behind an answer begin with a complete copy of it. The bytes are consumed.
-    fn is_copy_next(&mut self, head: &Head, body: &Body) -> bool {
-        loop {
-            let Ok(consumed) = self.parser.feed(self.inbox.bytes()) else {
-                return false;
-            };
-            self.inbox.consume(consumed);
-            if let Some((next_head, next_body)) = self.parser.take_message() {
-                return next_head == *head && *next_body == **body;
-            }
-            if self.inbox.read_from(&self.socket) != ReadOutcome::Data {
-                return false;
-            }
-        }
-    }
-
-    fn closed_by_peer(&self) -> Progress {
-        if self.state == UpstreamState::Idle {
-            Progress::Stale(Reuse::No)
-        } else {
-            Progress::Failed(self.outcome_if_closed(Outcome::Reset))
-        }
-    }
-
     /// What can be read from the connection now.
     pub fn unread(&self) -> Unread {
         net::unread(&self.socket)
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to backends, the attempts that they carry, and the pool of idle connections.
 
 mod answer;
+mod answer_reader;
 mod attempt;
 mod close_reason;
 mod connection;
--- a/crates/node/src/upstream/table.rs
+++ b/crates/node/src/upstream/table.rs
@@ -166,18 +166,22 @@
                 reason.name()
             ),
         );
-        if reason == UpstreamCloseReason::LengthMismatch {
-            let details = format_args!("backend={backend} upstream={number}");
-            diagnostics.log(now, "length-mismatch", details);
-        }
-        if reason == UpstreamCloseReason::UnexpectedBytes {
-            let lateness = connection
-                .last_answer_at()
-                .map_or(0, |answered_at| now.saturating_sub(answered_at));
-            self.pool.record_unexpected_bytes(lateness, now);
-            let after_us = lateness / 1_000;
-            let details = format_args!("backend={backend} upstream={number} after_us={after_us}");
-            diagnostics.log(now, "unexpected-bytes", details);
+        match reason {
+            UpstreamCloseReason::UnexpectedBytes => {
+                let lateness = connection
+                    .last_answer_at()
+                    .map_or(0, |answered_at| now.saturating_sub(answered_at));
+                self.pool.record_unexpected_bytes(lateness, now);
+                let after_us = lateness / 1_000;
+                let details =
+                    format_args!("backend={backend} upstream={number} after_us={after_us}");
+                diagnostics.log(now, "unexpected-bytes", details);
+            }
+            UpstreamCloseReason::LengthMismatch => {
+                let details = format_args!("backend={backend} upstream={number}");
+                diagnostics.log(now, "length-mismatch", details);
+            }
+            _ => {}
         }
         Some(connection)
     }
--- a/crates/node/tests/protocol_rules/length_mismatch.rs
+++ b/crates/node/tests/protocol_rules/length_mismatch.rs
@@ -2,36 +2,21 @@
 //! failed attempt that may have been executed, unless a copy of it follows, which shows that its
 //! length was right. Such a request is answered 400, unless another request may follow.
 
-use crate::common::{Connection, TestNode, report_request};
+use super::{not_idempotent_class, with_attempt_in_flight};
+use crate::common::{TestNode, report_request};
 
 /// Body of the answers in these tests.
 const BODY: &str = "recorded; listens of this episode: 12";
 /// Bytes by which a wrong `Content-Length` is less than the length of the body.
 const MISSING_BYTES: usize = 20;
+/// Maximum number of bytes that the node reads first on a new connection.
+const FIRST_READ_BYTES: usize = 2048;
 
 /// A complete answer whose `Content-Length` is `length`.
 fn answer(status: &str, length: usize) -> String {
     format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{BODY}")
 }
 
-/// Makes the class of the requests one that is not idempotent.
-fn not_idempotent_class(config: String) -> String {
-    config.replace(
-        r#""effect":"by_key","keyScope":"cell","windowNs":3000000000"#,
-        r#""effect":"once""#,
-    )
-}
-
-/// Sends a request without an idempotency key, and returns the connections of its client and of the
-/// backend when the backend has received the request.
-fn with_attempt_in_flight(node: &TestNode) -> (Connection, Connection) {
-    let mut client = node.client();
-    client.send(&report_request("r1", 5_000).replace("Idempotency-Key: kr1\r\n", ""));
-    let mut backend = node.backend.accept();
-    backend.expect("body");
-    (client, backend)
-}
-
 /// Guards against serving a cut-off body as a whole 200, and against rejecting a request that may
 /// have been executed.
 #[test]
@@ -55,6 +40,22 @@
     }
 }
 
+/// Guards against serving a cut-off body because the read that would show its rest fails.
+#[test]
+fn answer_longer_than_its_content_length_is_not_served_while_reads_fail() {
+    let node = TestNode::with_faults("recv=ENOMEM,chance:0.3", not_idempotent_class);
+    // The node's first read ends exactly where the answer claims to end.
+    let head = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\nX-A: ";
+    let padding = "a".repeat(FIRST_READ_BYTES - 1000 - head.len() - 4);
+    let answer = format!("{head}{padding}\r\n\r\n{}", "b".repeat(1020));
+    for _ in 0..20 {
+        let (mut client, mut backend) = with_attempt_in_flight(&node);
+        backend.send(&answer);
+        let head = client.expect("\r\n\r\n");
+        assert!(head.starts_with("HTTP/1.1 502 "), "{head}");
+    }
+}
+
 /// Guards against serving a cut-off body where the class allows a retry.
 #[test]
 fn idempotent_request_is_retried_after_an_answer_longer_than_its_content_length() {
--- a/crates/node/tests/protocol_rules/mod.rs
+++ b/crates/node/tests/protocol_rules/mod.rs
@@ -77,6 +77,24 @@
     (node, EchoBackend::serve(stand_in))
 }
 
+/// Makes the class of [`report_request`] one that is not idempotent.
+fn not_idempotent_class(config: String) -> String {
+    config.replace(
+        r#""effect":"by_key","keyScope":"cell","windowNs":3000000000"#,
+        r#""effect":"once""#,
+    )
+}
+
+/// Sends a request without an idempotency key, and returns the connections of its client and of the
+/// backend when the backend has received the request.
+fn with_attempt_in_flight(node: &TestNode) -> (Connection, Connection) {
+    let mut client = node.client();
+    client.send(&report_request("r1", 5_000).replace("Idempotency-Key: kr1\r\n", ""));
+    let mut backend = node.backend.accept();
+    backend.expect("body");
+    (client, backend)
+}
+
 /// Sends `count` requests, on a new connection after every tenth, and checks that each gets a
 /// complete answer; returns how many were served.
 fn send_requests(node: &TestNode, count: usize) -> usize {
--- a/crates/node/tests/protocol_rules/unframed.rs
+++ b/crates/node/tests/protocol_rules/unframed.rs
@@ -1,24 +1,8 @@
 //! An answer with neither a length nor chunks ends with its connection: it is complete if the
 //! connection ends with a FIN, and truncated if it is reset.
 
-use crate::common::{Connection, TestNode, report_request};
-
-/// The connections of the client and of the backend, with a request in flight that has no
-/// idempotency key.
-fn with_attempt_in_flight(node: &TestNode) -> (Connection, Connection) {
-    let mut client = node.client();
-    client.send(&report_request("r1", 5_000).replace("Idempotency-Key: kr1\r\n", ""));
-    let mut backend = node.backend.accept();
-    backend.expect("body");
-    (client, backend)
-}
-
-fn not_idempotent_class(config: String) -> String {
-    config.replace(
-        r#""effect":"by_key","keyScope":"cell","windowNs":3000000000"#,
-        r#""effect":"once""#,
-    )
-}
+use super::{not_idempotent_class, with_attempt_in_flight};
+use crate::common::TestNode;
 
 #[test]
 fn complete_answer_without_a_length_is_forwarded() {
