Write the configurations of nodes in the testbed without holding a lock

Timed in a scratch copy, writing or removing a configuration took 20 to 63 ms on the disk in use, again and again, under the lock of its node; the runtime's threads wait for these locks (front, clients) and with them all stand-ins of the run. SignalSeries and Reloads write often.

Change: ConfigFile holds the path and does the writing; the cluster takes address and path under the lock and writes after it.

--- a/crates/testbed/src/cluster/actions.rs
+++ b/crates/testbed/src/cluster/actions.rs
@@ -53,12 +53,12 @@
             }
             Action::ReloadHalf => {
                 let config = self.node_config(number, &[]);
-                locked(&self.nodes[number]).write_truncated_config(&config)?;
+                self.config_file(number).write_truncated(&config)?;
                 self.signal(number, Signal::HUP);
             }
             Action::ReloadMissing => {
                 // An earlier step may have removed the file already.
-                let _ = locked(&self.nodes[number]).remove_config();
+                let _ = self.config_file(number).remove();
                 self.signal(number, Signal::HUP);
             }
             Action::Crowd => self.crowd_node(number),
@@ -88,7 +88,7 @@
 
     fn write_config_with_current_list(&self, number: usize) -> io::Result<()> {
         let config = self.node_config(number, &self.discovery.endpoints());
-        locked(&self.nodes[number]).write_config(config)
+        self.write_config(number, config)
     }
 
     /// Opens connections to a node, sends nothing on them and closes them after [`CROWD_DURATION`].
--- a/crates/testbed/src/cluster/node_config.rs
+++ b/crates/testbed/src/cluster/node_config.rs
@@ -10,6 +10,7 @@
 use super::{
     ANSWER_SLACK, Cluster, DRAIN_GRACE, KEY_WINDOW, OVERLOAD_DURATION, OVERLOAD_MULTIPLE, zone,
 };
+use crate::config_file::ConfigFile;
 use crate::scenario::{Class, Known};
 
 /// Multiplier of the run's seed. The product plus a node's number is the node's seed, so that runs
@@ -22,13 +23,24 @@
     /// Writes the configurations for the first start of all nodes.
     pub(super) fn write_initial_configs(&self) -> io::Result<()> {
         let endpoints = self.initial_list();
-        for (number, node) in self.nodes.iter().enumerate() {
+        for number in 0..self.nodes.len() {
             let config = self.node_config(number, &endpoints);
-            locked(node).write_config(config)?;
+            self.write_config(number, config)?;
         }
         Ok(())
     }
 
+    /// Writes the configuration of a node. Its lock is not held meanwhile; see [`ConfigFile`].
+    pub(super) fn write_config(&self, number: usize, config: Value) -> io::Result<()> {
+        let address = locked(&self.nodes[number]).address();
+        self.config_file(number).write(config, address)
+    }
+
+    /// The configuration file of a node.
+    pub(super) fn config_file(&self, number: usize) -> ConfigFile {
+        locked(&self.nodes[number]).config_file().clone()
+    }
+
     /// Endpoint list that nodes are given at their first start.
     fn initial_list(&self) -> Vec<Endpoint> {
         match self.scenario.fleet.known {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 
 pub mod cluster;
+pub mod config_file;
 pub mod node;
 pub mod referee;
 pub mod report;
--- a/crates/testbed/src/node.rs
+++ b/crates/testbed/src/node.rs
@@ -9,14 +9,13 @@
 
 use kitefork_standin::{Clock, locked};
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader, Lines};
 use tokio::process::{Child, ChildStderr, Command};
 
+use crate::config_file::ConfigFile;
+
 /// Maximum number of log lines that are kept for a node.
 const MAX_LOG_LINES: usize = 20_000;
-/// Listening address at the first start of a node; later starts use the port assigned then.
-const ANY_PORT_ADDRESS: &str = "127.0.0.1:0";
 /// Part of the line that a node logs when it begins to listen.
 const START_LINE_MARKER: &str = "kitefork: start ";
 
@@ -68,7 +67,7 @@
 pub struct Node {
     /// Number of the node, counted from 0.
     pub number: usize,
-    config_path: PathBuf,
+    config_file: ConfigFile,
     child: Option<Child>,
     observed: Arc<Mutex<ObservedState>>,
 }
@@ -105,7 +104,7 @@
     pub fn new(number: usize, folder: &Path) -> Node {
         Node {
             number,
-            config_path: folder.join(format!("n{number}.json")),
+            config_file: ConfigFile::new(number, folder),
             child: None,
             observed: Arc::default(),
         }
@@ -115,6 +114,11 @@
         locked(&self.observed)
     }
 
+    /// The configuration file with which each process of the node starts.
+    pub fn config_file(&self) -> &ConfigFile {
+        &self.config_file
+    }
+
     /// Listening address, the same in all incarnations; `None` until the first one has logged it.
     pub fn address(&self) -> Option<SocketAddr> {
         self.observed().address
@@ -137,38 +141,6 @@
         self.observed().log_lines.clone()
     }
 
-    /// Writes the configuration file, with the address of the node as `listen`.
-    ///
-    /// # Errors
-    ///
-    /// If the file can't be written.
-    pub fn write_config(&self, mut config: Value) -> io::Result<()> {
-        let address = self
-            .address()
-            .map_or(ANY_PORT_ADDRESS.to_string(), |address| address.to_string());
-        config["listen"] = Value::from(address);
-        std::fs::write(&self.config_path, config.to_string())
-    }
-
-    /// Writes a configuration file that ends after half of its bytes.
-    ///
-    /// # Errors
-    ///
-    /// If the file can't be written.
-    pub fn write_truncated_config(&self, config: &Value) -> io::Result<()> {
-        let text = config.to_string();
-        std::fs::write(&self.config_path, &text[..text.len() / 2])
-    }
-
-    /// Removes the configuration file, so that the next reload finds none.
-    ///
-    /// # Errors
-    ///
-    /// If the file does not exist or can't be removed.
-    pub fn remove_config(&self) -> io::Result<()> {
-        std::fs::remove_file(&self.config_path)
-    }
-
     /// Starts a process, unless one is running.
     ///
     /// # Errors
@@ -185,7 +157,7 @@
         let variables = settings.variables.iter();
         let mut child = Command::new(&settings.program)
             .env_clear()
-            .env("BALANCER_CONFIG", &self.config_path)
+            .env("BALANCER_CONFIG", self.config_file.path())
             .envs(variables.map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
