--- a/review/common-2/src/bin/refused_call.rs
+++ b/review/common-2/src/bin/refused_call.rs
@@ -47,7 +47,7 @@
     let mut targets = Vec::new();
     for number in 0..BACKENDS {
         let name = format!("web-{number}");
-        let backend = Backend::start(&name, (10.0, 30.0), None, record)?;
+        let backend = Backend::start(&name, (10.0, 30.0), record)?;
         targets.push(Target::ready(&name, backend.address));
         backends.push(backend);
     }
--- a/review/common-2/src/bin/short_length.rs
+++ b/review/common-2/src/bin/short_length.rs
@@ -33,7 +33,7 @@
     let mut targets = Vec::new();
     for number in 0..3 {
         let name = format!("web-{number}");
-        let backend = Backend::start(&name, (20.0, 40.0), None, record)?;
+        let backend = Backend::start(&name, (20.0, 40.0), record)?;
         targets.push(Target::ready(&name, backend.address));
         backends.push(backend);
     }
--- a/review/common-2/src/lib.rs
+++ b/review/common-2/src/lib.rs
@@ -1,10 +1,9 @@
 //! Stand-ins and helpers for the cases of the second review: the nodes as separate processes,
-//! discovery, backends, a link with a delay, and clients, all on loopback and on the real clock.
+//! discovery, backends and clients, all on loopback and on the real clock.
 
 pub mod backend;
 pub mod discovery;
 pub mod http;
-pub mod link;
 pub mod node;
 pub mod record;
 pub mod settings;
