Review case 7: an answer whose length is too short is served cut off

The rest of the body comes some milliseconds after the part that the length covers, so the one look behind the answer finds nothing.

--- a/review/common-2/src/backend.rs
+++ b/review/common-2/src/backend.rs
@@ -29,9 +29,23 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     /// Held while a request runs, if requests run one after another.
     core: Option<Arc<Mutex<()>>>,
+    pieces: Option<Pieces>,
     record: Record,
 }
 
+/// Some answers are written in two pieces.
+#[derive(Clone, Copy)]
+pub struct Pieces {
+    /// The share of the answers.
+    pub share: f64,
+    /// The length of the second piece, in bytes.
+    pub rest: usize,
+    /// The pause between the pieces.
+    pub pause: Duration,
+    /// Whether the `Content-Length` leaves out the second piece.
+    pub is_length_short: bool,
+}
+
 impl Backend {
     /// Starts a backend on a free port; it runs any number of requests at once.
     ///
@@ -39,7 +53,7 @@
     ///
     /// Those of binding a socket.
     pub fn start(name: &str, work_ms: (f64, f64), record: &Record) -> io::Result<Backend> {
-        Backend::start_with(name, work_ms, None, record)
+        Backend::start_with(name, work_ms, None, None, record)
     }
 
     /// Starts a backend with one core on a free port: its requests run one after another.
@@ -52,13 +66,28 @@
         work_ms: (f64, f64),
         record: &Record,
     ) -> io::Result<Backend> {
-        Backend::start_with(name, work_ms, Some(Arc::default()), record)
+        Backend::start_with(name, work_ms, Some(Arc::default()), None, record)
+    }
+
+    /// Starts a backend on a free port that writes some answers in two pieces.
+    ///
+    /// # Errors
+    ///
+    /// Those of binding a socket.
+    pub fn start_with_pieces(
+        name: &str,
+        work_ms: (f64, f64),
+        pieces: Pieces,
+        record: &Record,
+    ) -> io::Result<Backend> {
+        Backend::start_with(name, work_ms, None, Some(pieces), record)
     }
 
     fn start_with(
         name: &str,
         work_ms: (f64, f64),
         core: Option<Arc<Mutex<()>>>,
+        pieces: Option<Pieces>,
         record: &Record,
     ) -> io::Result<Backend> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -68,6 +97,7 @@
             work_ms,
             runs: Arc::default(),
             core,
+            pieces,
             record: record.clone(),
         };
         backend.accept(listener);
@@ -105,16 +135,25 @@
             let core = self.core.as_ref().map(|core| core.lock());
             thread::sleep(Duration::from_secs_f64(work_ms / 1e3));
             drop(core);
-            let body = format!("{} recorded {}", self.name, request.header("x-txn"));
-            let answer = format!(
-                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
-                body.len()
-            );
+            let body = format!("backend {} recorded {}", self.name, request.header("x-txn"));
+            let pieces = self
+                .pieces
+                .filter(|pieces| random.between(0.0, 1.0) < pieces.share);
+            let (length, pause) = match pieces {
+                Some(pieces) if pieces.is_length_short => (body.len() - pieces.rest, pieces.pause),
+                Some(pieces) => (body.len(), pieces.pause),
+                None => (body.len(), Duration::ZERO),
+            };
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
             self.record.add(format!(
-                "backend {} connection {connection} answers: {body}",
+                "backend {} connection {connection} answers, Content-Length {length}: {body}",
                 self.name
             ));
-            stream.write_all(answer.as_bytes())?;
+            let rest = pieces.map_or(0, |pieces| pieces.rest);
+            let (first, second) = answer.split_at(answer.len() - rest);
+            stream.write_all(first.as_bytes())?;
+            thread::sleep(pause);
+            stream.write_all(second.as_bytes())?;
         }
         Ok(())
     }
--- a/review/common-2/src/bin/burst_then_close.rs
+++ b/review/common-2/src/bin/burst_then_close.rs
@@ -105,7 +105,7 @@
         }
     }
     let counts = format!(
-        "of {begun} attempts for {BAD_CLIENTS} clients that closed, {late} began over {LIMIT_S} s \
+        "of {begun} attempts for {BAD_CLIENTS} clients that closed, {late} began over {LIMIT_S:.2} s \
          after the close, the last one {longest:.3} s after it"
     );
     if !is_running {
--- a/review/common-2/src/bin/restart_in_outage.rs
+++ b/review/common-2/src/bin/restart_in_outage.rs
@@ -127,7 +127,7 @@
         .map(|backend| backend.runs().iter().filter(|run| run.at > told_at).count())
         .sum();
     let counts = format!(
-        "of {since} requests since the restart {} reached the draining backend over {GRACE_S} s \
+        "of {since} requests since the restart {} reached the draining backend over {GRACE_S:.2} s \
          after the node's first moment",
         late.len()
     );
