Begin no attempt while unread bytes behind a request may hide its client's close

Cause: a close arrives behind the bytes before it; with a full inbox the node stops reading, the rest and the end of the stream stay with the client's kernel, and no close seen was taken for connected. The client's state now has a third value, unknown, while the inbox is full: no attempt begins then, a waiting request gets 503 and its connection stays open; bytes behind a waiting request are read before events that may lead to a send.

--- a/crates/node/src/downstream/connection/mod.rs
+++ b/crates/node/src/downstream/connection/mod.rs
@@ -15,7 +15,7 @@
 use crate::http1::{MAX_HEAD, MAX_RESPONSE_BODY, ParseError};
 use crate::net::{self, Registration, Unread};
 use crate::ring_buffer::{BufferBudget, ReadOutcome, RingBuffer, WriteOutcome};
-use crate::rules::CloseFacts;
+use crate::rules::{ClientState, CloseFacts};
 use crate::timer_wheel::Deadline;
 
 /// Time limit for the first message to begin, and for the head of any message to be complete, in
@@ -147,10 +147,32 @@
 
     /// Whether a new check of the socket shows that the client has closed its sending side or reset
     /// the connection.
-    pub fn has_peer_closed_now(&self) -> bool {
+    fn has_peer_closed_now(&self) -> bool {
         net::has_peer_closed(&self.socket)
     }
 
+    /// Whether the client may have closed its connection, as far as its socket has been read. Its
+    /// close arrives behind the bytes that it has sent, so while the inbox is full nothing shows
+    /// it.
+    pub fn client_state(&self) -> ClientState {
+        if self.peer_closed {
+            ClientState::Disconnected
+        } else if self.is_input_full() {
+            ClientState::Unknown
+        } else {
+            ClientState::Connected
+        }
+    }
+
+    /// The same by a new check of the socket.
+    pub fn client_state_now(&self) -> ClientState {
+        match self.client_state() {
+            ClientState::Connected if self.has_peer_closed_now() => ClientState::Disconnected,
+            ClientState::Connected if self.may_have_unread() => ClientState::Unknown,
+            known => known,
+        }
+    }
+
     /// Whether everything queued for the client is written to the socket.
     pub fn is_outbox_empty(&self) -> bool {
         self.outbox.is_empty()
@@ -347,8 +369,8 @@
     }
 
     /// Puts an answer into the outbox, a successful one as soon as the bytes behind its request
-    /// show that the request's length is right. The connection closes after the answer if the answer or
-    /// the last message requires that.
+    /// show that the request's length is right. The connection closes after the answer if the
+    /// answer or the last message requires that.
     pub fn queue_reply(&mut self, now: Nanos, reply: Reply) {
         self.request = None;
         self.held = None;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -40,18 +40,6 @@
 /// calls: one for the listener, one for each of the two kinds of signals, and a margin of one.
 const NON_CONNECTION_EVENTS: usize = 4;
 
-/// Whether an event may forbid a send: a client has closed its side, or the endpoint list may
-/// change.
-fn may_forbid_send(event: &epoll::Event) -> bool {
-    // `epoll::Event` is a packed struct, so its fields are copied: they can't be referenced.
-    let (data, flags) = (event.data, event.flags);
-    match Token::decode(data) {
-        Some(Token::Discovery(_)) => true,
-        Some(Token::Client(_)) => flags.intersects(PEER_CLOSED),
-        _ => false,
-    }
-}
-
 /// A proxy process. Connects its components, each of which owns its own state.
 pub struct Node {
     event_loop: EventLoop,
@@ -99,21 +87,38 @@
         connections + self.discovery.open_calls() + NON_CONNECTION_EVENTS
     }
 
-    /// Handles events that may forbid a send (a client has closed its side, the endpoint list
-    /// changes) before all others, and executes commands only after the last of these events.
-    /// Socket events are handled before timers, so that an answer that has arrived takes precedence
-    /// over its timeout.
+    /// Handles events that may forbid a send (see [`Node::may_forbid_send`]) before all others, and
+    /// executes commands only after the last of these events. Socket events are handled before
+    /// timers, so that an answer that has arrived takes precedence over its timeout.
     fn handle_socket_events(&mut self, events: &[epoll::Event]) {
-        for event in events.iter().filter(|event| may_forbid_send(event)) {
+        let (may_forbid_send, others): (Vec<_>, Vec<_>) =
+            events.iter().partition(|event| self.may_forbid_send(event));
+        for event in may_forbid_send {
             self.on_socket_event(event);
         }
         self.flush_pending();
-        for event in events.iter().filter(|event| !may_forbid_send(event)) {
+        for event in others {
             self.on_socket_event(event);
             self.flush_pending();
         }
     }
 
+    /// Whether an event may forbid a send: a client has closed its side, a client whose request
+    /// waits for its answer has sent more, behind which a close may be hidden, or the endpoint list
+    /// may change.
+    fn may_forbid_send(&self, event: &epoll::Event) -> bool {
+        // `epoll::Event` is a packed struct, so its fields are copied: they can't be referenced.
+        let (data, flags) = (event.data, event.flags);
+        match Token::decode(data) {
+            Some(Token::Discovery(_)) => true,
+            Some(Token::Client(number)) => {
+                let connection = self.clients.get(number);
+                flags.intersects(PEER_CLOSED) || connection.is_some_and(|c| c.request().is_some())
+            }
+            _ => false,
+        }
+    }
+
     fn log_end(&mut self) {
         let now = self.event_loop.now();
         let full_scans = self.requests.full_scans();
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -11,7 +11,7 @@
 use crate::http1::ParseError;
 use crate::request_table::{LocalReply, OpenError, OpenedRequest, RequestSpec};
 use crate::ring_buffer::WriteOutcome;
-use crate::rules::{ClosePermit, Denial, Violation};
+use crate::rules::{ClientState, ClosePermit, Denial, Violation};
 
 /// Body of the answer to a client that has closed its side after sending a request, if the request
 /// was not executed.
@@ -19,6 +19,13 @@
 /// Body of the answer to a client that has closed its side after sending a request, if the request
 /// may have been executed.
 const CLIENT_DISCONNECTED_FAILED: &[u8] = b"failed: the client has left\n";
+/// Body of the answer to a request behind which more is sent than the node reads, if the request
+/// was not executed.
+const CLIENT_STATE_UNKNOWN_REJECTED: &[u8] =
+    b"refused: too much is sent behind the request, nothing ran\n";
+/// Body of the answer to a request behind which more is sent than the node reads, if the request
+/// may have been executed.
+const CLIENT_STATE_UNKNOWN_FAILED: &[u8] = b"failed: too much is sent behind the request\n";
 
 impl Node {
     /// Closes a client connection; `_permit` shows that the rules allow this. If a request on the
@@ -110,7 +117,7 @@
             return self.drop_client(number, CloseReason::Broken);
         }
         match connection.read(now, self.event_loop.previous_poll_at()) {
-            ReadEvent::Incomplete => {}
+            ReadEvent::Incomplete => self.reject_if_close_is_hidden(number),
             ReadEvent::RetryLater => return connection.pause(number, &mut self.event_loop),
             ReadEvent::EndOfStream => return self.handle_client_eof(number),
             ReadEvent::Broken => return self.drop_client(number, CloseReason::Broken),
@@ -125,9 +132,7 @@
     fn reply_parse_error(&mut self, number: u32, error: ParseError) {
         let request = self.clients.get(number).and_then(|c| c.request());
         if let Some(request) = request {
-            self.requests
-                .client_disconnected(self.event_loop.now(), request);
-            self.cancel_unwritten(request);
+            self.abandon_request(request);
         }
         let status = error.status();
         self.diagnostics.log(
@@ -144,19 +149,24 @@
     fn handle_message(&mut self, number: u32, message: Message) {
         let now = self.event_loop.now();
         let elapsed = now.saturating_sub(message.started_at);
-        let is_peer_closed = self
-            .clients
-            .get(number)
-            .is_some_and(|connection| connection.is_peer_closed());
+        let client = match self.clients.get(number) {
+            Some(connection) => connection.client_state(),
+            None => ClientState::Disconnected,
+        };
         match downstream::route(message.head, message.body, &self.deployment, elapsed) {
             // The client may have disconnected, so its request must not be executed. If the client
             // has closed only its sending side, it still waits for an answer.
-            Route::Request { .. } if is_peer_closed => {
+            Route::Request { .. } if client == ClientState::Disconnected => {
                 self.diagnostics
                     .trace(now, format_args!("client-closed connection={number}"));
                 self.count_client_denial(Denial::ClientDisconnected, number);
                 self.reply(number, Reply::closing(503, CLIENT_DISCONNECTED_REJECTED));
             }
+            // The connection stays open: each of the requests behind this one gets an answer too.
+            Route::Request { .. } if client == ClientState::Unknown => {
+                self.count_client_denial(Denial::ClientStateUnknown, number);
+                self.reply(number, Reply::new(503, CLIENT_STATE_UNKNOWN_REJECTED));
+            }
             Route::Health => self.reply_health(number),
             Route::Invalid(invalid) => self.reply_invalid(number, invalid),
             Route::Request { spec, payload } => self.open_request(number, spec, payload),
@@ -210,16 +220,42 @@
     }
 
     fn reply_to_disconnected(&mut self, number: u32, request: u32) {
+        let reply = if self.abandon_request(request) {
+            Reply::closing(503, CLIENT_DISCONNECTED_REJECTED)
+        } else {
+            Reply::closing(502, CLIENT_DISCONNECTED_FAILED)
+        };
+        self.reply(number, reply);
+    }
+
+    /// Ends a request whose client can't be served, with its attempt unless that is completely
+    /// written. Returns whether the request may be rejected.
+    fn abandon_request(&mut self, request: u32) -> bool {
         // An attempt that has not been completely written is never executed.
         let is_unwritten = self.upstreams.has_unwritten(request);
         let is_rejectable = self.requests.may_reject(request, is_unwritten);
         self.requests
             .client_disconnected(self.event_loop.now(), request);
         self.cancel_unwritten(request);
-        let reply = if is_rejectable {
-            Reply::closing(503, CLIENT_DISCONNECTED_REJECTED)
+        is_rejectable
+    }
+
+    /// Answers a request that waits to be sent if its client has sent so much behind it that a
+    /// close would not be seen. An attempt that is completely written goes on.
+    fn reject_if_close_is_hidden(&mut self, number: u32) {
+        let connection = self.clients.get(number);
+        let hidden = connection.filter(|c| c.client_state() == ClientState::Unknown);
+        let Some(request) = hidden.and_then(|c| c.request()) else {
+            return;
+        };
+        if self.requests.has_attempt_in_flight(request) && !self.upstreams.has_unwritten(request) {
+            return;
+        }
+        self.count_client_denial(Denial::ClientStateUnknown, number);
+        let reply = if self.abandon_request(request) {
+            Reply::new(503, CLIENT_STATE_UNKNOWN_REJECTED)
         } else {
-            Reply::closing(502, CLIENT_DISCONNECTED_FAILED)
+            Reply::new(502, CLIENT_STATE_UNKNOWN_FAILED)
         };
         self.reply(number, reply);
     }
--- a/crates/node/src/node/upstream.rs
+++ b/crates/node/src/node/upstream.rs
@@ -8,7 +8,7 @@
 use crate::downstream::Reply;
 use crate::http1;
 use crate::net::Unread;
-use crate::rules::{self, Denial, WriteFacts};
+use crate::rules::{self, ClientState, Denial, WriteFacts};
 use crate::upstream::{
     self, Answer, AttemptLimits, DialError, IdleConnection, PostponedDial, UpstreamAttempt,
     UpstreamCloseReason, UpstreamEvent,
@@ -34,6 +34,14 @@
             return self.report_outcome(attempt, Outcome::NotSent);
         }
         let now = self.event_loop.now();
+        if self.client_state(attempt, now) == ClientState::Unknown {
+            self.diagnostics.count_denial(
+                now,
+                Denial::ClientStateUnknown,
+                format_args!("at=connect"),
+            );
+            return self.report_outcome(attempt, Outcome::NotSent);
+        }
         self.dial_or_postpone(PostponedDial {
             backend,
             attempt,
@@ -220,9 +228,7 @@
         }
         Some(WriteFacts {
             answered: self.is_obsolete(attempt),
-            client_disconnected: attempt
-                .request()
-                .is_some_and(|request| self.is_client_disconnected(request, now)),
+            client: self.client_state(attempt, now),
             backend_ready: self.discovery.ready_address(connection.backend()).is_some(),
             unread,
             abandon_at: limits.abandon_at,
@@ -230,20 +236,24 @@
         })
     }
 
-    /// Whether the client of a request has disconnected, or its connection is already closed. In a
-    /// long iteration, the socket of the client is checked again.
-    fn is_client_disconnected(&self, request: u32, now: Nanos) -> bool {
+    /// What is known of the client of an attempt's request; connected for a health check. In a long
+    /// iteration, the socket of the client is checked again.
+    fn client_state(&self, attempt: UpstreamAttempt, now: Nanos) -> ClientState {
+        let Some(request) = attempt.request() else {
+            return ClientState::Connected;
+        };
         let connection = self
             .requests
             .connection(request)
             .and_then(|number| self.clients.get(number));
-        connection.is_none_or(|connection| {
-            connection.is_peer_closed()
-                || (self
-                    .event_loop
-                    .has_run_longer_than(now, MAX_CLIENT_STATE_AGE)
-                    && connection.has_peer_closed_now())
-        })
+        let is_old = self
+            .event_loop
+            .has_run_longer_than(now, MAX_CLIENT_STATE_AGE);
+        match connection {
+            Some(connection) if is_old => connection.client_state_now(),
+            Some(connection) => connection.client_state(),
+            None => ClientState::Disconnected,
+        }
     }
 
     fn request_bytes(&self, attempt: UpstreamAttempt, timeout_ms: u64) -> Option<Vec<u8>> {
--- a/crates/node/src/request_table/mod.rs
+++ b/crates/node/src/request_table/mod.rs
@@ -160,6 +160,13 @@
         self.table.get(id).map(|pending| pending.connection)
     }
 
+    /// Whether a request has an attempt that has not ended.
+    pub fn has_attempt_in_flight(&self, id: u32) -> bool {
+        self.table
+            .get(id)
+            .is_some_and(|pending| pending.history().in_flight > 0)
+    }
+
     /// Whether a request has no final answer yet and its client still waits for one.
     pub fn is_waiting(&self, id: u32) -> bool {
         self.table
--- a/crates/node/src/rules.rs
+++ b/crates/node/src/rules.rs
@@ -26,6 +26,9 @@
     Answered,
     /// The client has closed its connection.
     ClientDisconnected,
+    /// The client has sent more behind its request than the node reads, so that a close behind it
+    /// would not be seen.
+    ClientStateUnknown,
     /// The client's timeout or the attempt's time limit has passed.
     DeadlinePassed,
     /// Another attempt of the request is in flight.
@@ -54,6 +57,7 @@
         match self {
             Denial::Answered => "answered",
             Denial::ClientDisconnected => "client_disconnected",
+            Denial::ClientStateUnknown => "client_state_unknown",
             Denial::DeadlinePassed => "deadline_passed",
             Denial::AttemptInFlight => "attempt_out",
             Denial::AttemptsExhausted => "attempts_spent",
@@ -126,13 +130,25 @@
     }
 }
 
+/// What is known of the client of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientState {
+    /// Everything that has arrived from the client is read, and it has not closed its connection.
+    Connected,
+    /// The client has closed or reset its connection.
+    Disconnected,
+    /// The client may have closed its connection: a close would stand behind bytes that are not
+    /// read.
+    Unknown,
+}
+
 /// The facts that decide whether the first byte of an attempt may be written.
 #[derive(Debug, Clone, Copy)]
 pub struct WriteFacts {
     /// Whether the request has its final answer.
     pub answered: bool,
-    /// Whether the client has closed or reset its connection.
-    pub client_disconnected: bool,
+    /// Whether the client may have closed its connection.
+    pub client: ClientState,
     /// Whether the backend is ready according to the endpoint list.
     pub backend_ready: bool,
     /// What can be read from the connection to the backend.
@@ -184,8 +200,10 @@
 pub fn may_write(now: Nanos, facts: &WriteFacts) -> Result<WritePermit, Denial> {
     if facts.answered {
         Err(Denial::Answered)
-    } else if facts.client_disconnected {
+    } else if facts.client == ClientState::Disconnected {
         Err(Denial::ClientDisconnected)
+    } else if facts.client == ClientState::Unknown {
+        Err(Denial::ClientStateUnknown)
     } else if !facts.backend_ready {
         Err(Denial::BackendNotReady)
     } else if facts.unread == Unread::Bytes {
--- a/crates/node/src/rules_tests.rs
+++ b/crates/node/src/rules_tests.rs
@@ -33,7 +33,7 @@
 fn write_facts() -> WriteFacts {
     WriteFacts {
         answered: false,
-        client_disconnected: false,
+        client: ClientState::Connected,
         backend_ready: true,
         unread: Unread::Nothing,
         abandon_at: NOW + 500 * MS,
@@ -72,9 +72,14 @@
             .ok(),
         Some(500)
     );
-    let cases: [(Denial, Change<WriteFacts>); 7] = [
+    let cases: [(Denial, Change<WriteFacts>); 8] = [
         (Denial::Answered, |f| f.answered = true),
-        (Denial::ClientDisconnected, |f| f.client_disconnected = true),
+        (Denial::ClientDisconnected, |f| {
+            f.client = ClientState::Disconnected;
+        }),
+        (Denial::ClientStateUnknown, |f| {
+            f.client = ClientState::Unknown;
+        }),
         (Denial::BackendNotReady, |f| f.backend_ready = false),
         (Denial::UnexpectedBytes, |f| f.unread = Unread::Bytes),
         (Denial::DeadlinePassed, |f| f.abandon_at = NOW),
--- a/crates/node/src/upstream/connection_tests.rs
+++ b/crates/node/src/upstream/connection_tests.rs
@@ -28,7 +28,7 @@
 fn write_permit() -> WritePermit {
     let facts = WriteFacts {
         answered: false,
-        client_disconnected: false,
+        client: rules::ClientState::Connected,
         backend_ready: true,
         unread: Unread::Nothing,
         abandon_at: Nanos::MAX,
--- a/crates/node/tests/races/disconnects.rs
+++ b/crates/node/tests/races/disconnects.rs
@@ -139,3 +139,138 @@
     node.resume();
     assert_eq!(backend.expect_close(), "");
 }
+
+/// More requests than the node and its kernel buffer while one waits, so that the end of the stream
+/// stays with the client's kernel.
+const FLOOD_REQUESTS: usize = 900;
+
+fn flood() -> String {
+    (0..FLOOD_REQUESTS)
+        .map(|number| report_request(&format!("flood{number}"), 60_000))
+        .collect()
+}
+
+/// Starts a node whose one backend is draining, so that requests wait until [`make_ready`]; returns
+/// it with its watch.
+fn node_without_ready_backend() -> (TestNode, Connection) {
+    let node = TestNode::with_config(|config| {
+        config.replace(r#""state":"Ready""#, r#""state":"Terminating""#)
+    });
+    let mut watch = node.discovery.accept();
+    watch.expect("\r\n\r\n");
+    (node, watch)
+}
+
+fn make_ready(node: &TestNode, watch: &mut Connection) {
+    let ready = endpoint_json("s-1", node.backend.address(), "Ready");
+    watch.send(&watch_response(8, &[ready]));
+}
+
+/// Guards against attempts for a client whose close is hidden behind bytes that the node does not
+/// read.
+#[test]
+fn queued_request_is_not_forwarded_if_unread_bytes_hide_the_close_of_its_client() {
+    let (node, mut watch) = node_without_ready_backend();
+    let mut client = node.client();
+    client.send(&report_request("left", 5000));
+    node.wait_for_iteration();
+    client.send(&flood());
+    client.close();
+    node.wait_for_iteration();
+    make_ready(&node, &mut watch);
+    serve_next_request(&node, "next");
+}
+
+/// Guards against reading what hides a close only after the attempt that it forbids has begun.
+#[test]
+fn queued_request_is_not_forwarded_if_bytes_hide_the_close_while_the_node_stands_still() {
+    let (node, mut watch) = node_without_ready_backend();
+    let mut client = node.client();
+    client.send(&report_request("left", 5000));
+    node.wait_for_iteration();
+    node.stall();
+    make_ready(&node, &mut watch);
+    client.send(&flood());
+    client.close();
+    node.resume();
+    serve_next_request(&node, "next");
+}
+
+/// Guards against opening a request although unread bytes behind it may hide its client's close.
+#[test]
+fn requests_that_a_client_sends_at_once_before_it_closes_are_not_forwarded() {
+    let node = TestNode::start();
+    node.stall();
+    let mut client = node.client();
+    client.send(&flood());
+    client.close();
+    node.resume();
+    serve_next_request(&node, "next");
+    assert!(node.backend.has_no_pending_connection());
+}
+
+/// Guards against a retry for a client whose close is hidden behind bytes that the node does not
+/// read.
+#[test]
+fn rejected_attempt_is_not_retried_if_unread_bytes_hide_the_close_of_its_client() {
+    let node = TestNode::start();
+    let mut client = node.client();
+    client.send(&report_request("r0", 5000));
+    let mut backend = node.backend.accept();
+    // The first attempts of these requests add one retry to the retry budget.
+    for number in 1..=5 {
+        backend.expect("body");
+        backend.serve("200 OK", "warm");
+        client.expect("warm");
+        client.send(&report_request(&format!("r{number}"), 5000));
+    }
+    backend.expect("x-txn: r5\r\n");
+    backend.expect("body");
+    client.send(&flood());
+    client.close();
+    node.wait_for_iteration();
+    backend.serve(
+        "503 Service Unavailable\r\nX-Turned-Away: 1\r\nConnection: close",
+        "",
+    );
+    serve_next_request(&node, "next");
+}
+
+/// Guards against leaving a client without answers that sends many requests at once and stays.
+#[test]
+fn each_of_many_requests_sent_at_once_gets_an_answer_and_the_last_ones_are_served() {
+    let node = TestNode::start();
+    let mut client = node.client();
+    client.send(&flood());
+    // The next requests wait in the node while this one is served.
+    let served = std::thread::spawn({
+        let backend = node.backend.accept();
+        move || serve_until_close(backend)
+    });
+    let mut statuses = Vec::new();
+    for _ in 0..FLOOD_REQUESTS {
+        let head = client.expect("\r\n\r\n");
+        let length = crate::common::header(&head, "content-length").parse();
+        client.take(length.unwrap());
+        statuses.push(head["HTTP/1.1 ".len()..][..3].to_string());
+    }
+    assert!(
+        statuses
+            .iter()
+            .all(|status| status == "200" || status == "503")
+    );
+    assert_eq!(statuses.last().unwrap(), "200");
+    drop(client);
+    drop(node);
+    assert!(served.join().unwrap() > 0);
+}
+
+/// Answers each request on a backend's connection; returns their number once the connection closes.
+fn serve_until_close(mut backend: Connection) -> usize {
+    let mut count = 0;
+    while backend.expect_or_close("body").is_some() {
+        backend.try_send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        count += 1;
+    }
+    count
+}
