Refuse an X-Txn of a request that may have been executed in the last 30 seconds

Cause: an id was refused only while its request was in the table, and a client's close cancels the attempt and removes the request, although it may be running. ExecutedIds keeps hashes of such ids, 8,192 at most, for 30 s; a repeat gets 409. What was never executed, or never read, is served when it comes again.

transaction_id_is_reusable_once_its_finished_request_has_no_attempt_in_flight let a cancelled attempt's id run again; it is replaced by one that tells four outcomes apart. Tests that sent one id twice to a node now send different ones, as every request has its own. A client connection is read at most 16 times in an iteration; no probe showed a blocked loop without.

--- a/crates/node/src/downstream/connection/mod.rs
+++ b/crates/node/src/downstream/connection/mod.rs
@@ -44,6 +44,9 @@
 /// An idle connection whose client has sent more than one message becomes expendable after this
 /// time, in nanoseconds.
 const RETURNING_CLIENT_GRACE: Nanos = 2 * SECOND;
+/// Maximum number of reads of a connection in one loop iteration: a client that sends empty lines
+/// without end must not block the loop.
+const MAX_READS_PER_ITERATION: usize = 16;
 /// Maximum number of reads whose bytes are discarded before a connection closes: a client that
 /// never stops sending must not block the event loop.
 const MAX_DISCARDED_READS: usize = 16;
@@ -284,7 +287,7 @@
     pub fn read(&mut self, now: Nanos, previous_poll_at: Nanos) -> ReadEvent {
         let arrived_at = self.input.earliest_arrival(now, previous_poll_at);
         let mut has_read = false;
-        loop {
+        for _ in 0..MAX_READS_PER_ITERATION {
             if self.accepts_message()
                 && let Some(event) = self.parse(now)
             {
@@ -314,6 +317,9 @@
                 ReadOutcome::Broken => return ReadEvent::Broken,
             }
         }
+        // The next poll reports the socket again.
+        self.input.note_unread();
+        ReadEvent::Incomplete
     }
 
     fn parse(&mut self, now: Nanos) -> Option<ReadEvent> {
--- a/crates/node/src/downstream/input.rs
+++ b/crates/node/src/downstream/input.rs
@@ -131,6 +131,11 @@
         self.arrival.note_watched(now);
     }
 
+    /// Records that the last read may have left bytes in the socket.
+    pub fn note_unread(&mut self) {
+        self.arrival.note_unread();
+    }
+
     /// Earliest possible arrival time of bytes that are read at `now`; see
     /// [`ArrivalTracker::earliest_arrival`].
     pub fn earliest_arrival(&self, now: Nanos, previous_poll_at: Nanos) -> Nanos {
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -306,6 +306,11 @@
                 self.diagnostics.log(now, "bad-request", details);
                 Reply::new(409, b"a request with this X-Txn is open\n")
             }
+            OpenError::ExecutedId => {
+                let details = "status=409 why=its X-Txn may have been executed";
+                self.diagnostics.log(now, "bad-request", details);
+                Reply::new(409, b"a request with this X-Txn may have been executed\n")
+            }
         };
         self.reply(number, reply);
     }
--- a/crates/node/src/request_table/command.rs
+++ b/crates/node/src/request_table/command.rs
@@ -36,6 +36,8 @@
     TableFull,
     /// The table has a request with the same transaction ID.
     DuplicateId,
+    /// A request with the same transaction ID may have been executed a while ago.
+    ExecutedId,
 }
 
 /// A final answer that the node itself gives, without an answer from a backend.
--- a/crates/node/src/request_table/mod.rs
+++ b/crates/node/src/request_table/mod.rs
@@ -6,6 +6,7 @@
 //! forwarded to a backend. All times are in nanoseconds on the node's clock.
 
 mod command;
+mod executed_ids;
 mod pending;
 
 use std::collections::{HashSet, VecDeque};
@@ -20,6 +21,7 @@
 use crate::slab::Slab;
 
 pub use command::{Command, LocalReply, OpenError, OpenedRequest, RequestSpec};
+use executed_ids::ExecutedIds;
 use pending::{Attempt, PendingRequest};
 
 /// An attempt that the decision module started and the protocol rules denied.
@@ -35,6 +37,8 @@
     table: Slab<PendingRequest<C>>,
     /// Transaction IDs of the requests in the table.
     txns: HashSet<Box<str>>,
+    /// Transaction IDs of requests that are no longer in the table and may have been executed.
+    executed: ExecutedIds,
     idempotency_by_class: Vec<Idempotency>,
     max_attempts: usize,
     /// Time from a request's deadline until the deadline guard answers it.
@@ -64,6 +68,7 @@
         Ok(RequestTable {
             table: Slab::new(max_requests),
             txns: HashSet::new(),
+            executed: ExecutedIds::default(),
             idempotency_by_class: settings
                 .classes
                 .iter()
@@ -102,8 +107,9 @@
     ///
     /// # Errors
     ///
-    /// If the table is full, or if another request with the same transaction ID is open or has an
-    /// attempt in flight, as two attempts with the same ID could otherwise be in flight at once.
+    /// If the table is full, if another request with the same transaction ID is open or has an
+    /// attempt in flight, as two attempts with the same ID could otherwise be in flight at once, or
+    /// if one may have been executed a while ago.
     pub fn open(
         &mut self,
         now: Nanos,
@@ -114,6 +120,9 @@
         if self.txns.contains(&spec.txn) {
             return Err(OpenError::DuplicateId);
         }
+        if self.executed.contains(now, &spec.txn) {
+            return Err(OpenError::ExecutedId);
+        }
         let idempotency = self.idempotency_by_class[usize::from(spec.class)];
         let pending = PendingRequest::new(connection, &spec, payload, idempotency, now);
         let guard_at = pending.deadline.saturating_add(self.guard_slack);
@@ -220,7 +229,7 @@
             load_report: Vec::new(),
         };
         self.feed(now, event);
-        self.remove_if_finished(id);
+        self.remove_if_finished(now, id);
         answered_connection
     }
 
@@ -247,7 +256,7 @@
     fn report_disconnect(&mut self, now: Nanos, id: u32) {
         let request = RequestId(id);
         self.feed(now, Event::ClientDisconnected { request });
-        self.remove_if_finished(id);
+        self.remove_if_finished(now, id);
     }
 
     /// The deadline guard: answers a request as timed out if it has no answer shortly after its
@@ -335,7 +344,7 @@
 
     fn finish(&mut self, now: Nanos, request: RequestId, reply: LocalReply) {
         self.reply(now, request.0, reply);
-        self.remove_if_finished(request.0);
+        self.remove_if_finished(now, request.0);
     }
 
     /// Queues the command that starts an attempt. If the protocol rules deny the attempt, because
@@ -395,12 +404,15 @@
     }
 
     /// Removes a request that is finished and has no attempt in flight.
-    fn remove_if_finished(&mut self, id: u32) {
+    fn remove_if_finished(&mut self, now: Nanos, id: u32) {
         let is_done = |pending: &PendingRequest<C>| pending.is_finished && pending.in_flight() == 0;
         if self.table.get(id).is_some_and(is_done)
             && let Some(pending) = self.table.remove(id)
         {
             self.txns.remove(&pending.txn);
+            if pending.history().may_have_been_executed {
+                self.executed.add(now, &pending.txn);
+            }
         }
     }
 }
--- a/crates/node/src/request_table/request_table_tests.rs
+++ b/crates/node/src/request_table/request_table_tests.rs
@@ -83,20 +83,28 @@
 }
 
 #[test]
-fn transaction_id_is_reusable_once_its_finished_request_has_no_attempt_in_flight() {
-    let mut requests = table_with_backends(Idempotency::Idempotent);
-    let id = open(&mut requests);
-    assert_eq!(
-        requests.open(NOW, 78, spec(), ()),
-        Err(OpenError::DuplicateId)
-    );
-    assert!(requests.expire(NOW + SECOND, id));
-    assert_eq!(
-        requests.open(NOW + SECOND, 78, spec(), ()),
-        Err(OpenError::DuplicateId)
-    );
-    requests.attempt_ended(NOW + SECOND, id, 0, Outcome::Cancelled);
-    assert!(requests.open(NOW + SECOND, 78, spec(), ()).is_ok());
+fn transaction_id_is_reusable_only_if_no_attempt_is_in_flight_and_none_may_have_been_executed() {
+    for (outcome, expected) in [
+        (Outcome::NotSent, None),
+        (Outcome::ConnectFailed, None),
+        (Outcome::Cancelled, Some(OpenError::ExecutedId)),
+        (Outcome::Success, Some(OpenError::ExecutedId)),
+    ] {
+        let mut requests = table_with_backends(Idempotency::Idempotent);
+        let id = open(&mut requests);
+        assert_eq!(
+            requests.open(NOW, 78, spec(), ()),
+            Err(OpenError::DuplicateId)
+        );
+        assert!(requests.expire(NOW + SECOND, id));
+        assert_eq!(
+            requests.open(NOW + SECOND, 78, spec(), ()),
+            Err(OpenError::DuplicateId)
+        );
+        requests.attempt_ended(NOW + SECOND, id, 0, outcome);
+        let reopened = requests.open(NOW + SECOND, 78, spec(), ());
+        assert_eq!(reopened.err(), expected, "{outcome:?}");
+    }
 }
 
 #[test]
--- a/crates/node/tests/protocol_rules/mod.rs
+++ b/crates/node/tests/protocol_rules/mod.rs
@@ -88,8 +88,12 @@
 /// Sends a request without an idempotency key, and returns the connections of its client and of the
 /// backend when the backend has received the request.
 fn with_attempt_in_flight(node: &TestNode) -> (Connection, Connection) {
+    // Every request has an ID of its own.
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let id = format!("r{}", COUNT.fetch_add(1, Ordering::SeqCst));
+    let key = format!("Idempotency-Key: k{id}\r\n");
     let mut client = node.client();
-    client.send(&report_request("r1", 5_000).replace("Idempotency-Key: kr1\r\n", ""));
+    client.send(&report_request(&id, 5_000).replace(&key, ""));
     let mut backend = node.backend.accept();
     backend.expect("body");
     (client, backend)
--- a/crates/node/tests/races/delays.rs
+++ b/crates/node/tests/races/delays.rs
@@ -45,10 +45,10 @@
                     .or_else(|| other_backend.try_accept())
             })
         };
-        first_client.send(&report_request("warm1", 5000));
+        first_client.send(&report_request("idle1", 5000));
         let mut first = accept_at_either();
         // The first backend is busy, so this request goes to the second.
-        second_client.send(&report_request("warm2", 5000));
+        second_client.send(&report_request("idle2", 5000));
         let mut second = accept_at_either();
         for (connection, client) in [
             (&mut first, &mut first_client),
--- a/crates/node/tests/races/disconnects.rs
+++ b/crates/node/tests/races/disconnects.rs
@@ -274,3 +274,89 @@
     }
     count
 }
+
+/// The request of a class that backends deduplicate by key, or of one that is idempotent, or not.
+fn request_of_effect(effect: &str, id: &str) -> String {
+    let request = report_request(id, 5000);
+    match effect {
+        "repeatable" => request
+            .replace("POST", "GET")
+            .replace("Content-Length: 4\r\n\r\nbody", "X-End: body\r\n\r\n")
+            .replace(&format!("Idempotency-Key: k{id}\r\n"), ""),
+        "once" => request.replace(&format!("Idempotency-Key: k{id}\r\n"), ""),
+        _ => request,
+    }
+}
+
+fn node_with_effect(effect: &str) -> TestNode {
+    let key_settings = r#""effect":"by_key","keyScope":"cell","windowNs":3000000000"#;
+    TestNode::with_config(|config| match effect {
+        "by_key" => config,
+        other => config.replace(key_settings, &format!(r#""effect":"{other}""#)),
+    })
+}
+
+/// Guards against executing a request twice whose ID comes again after its client has left.
+#[test]
+fn id_of_an_attempt_that_may_have_been_executed_is_not_executed_again() {
+    for effect in ["repeatable", "by_key", "once"] {
+        for answers_first in [false, true] {
+            let node = node_with_effect(effect);
+            let mut client = node.client();
+            client.send(&request_of_effect(effect, "again"));
+            let mut backend = node.backend.accept();
+            backend.expect("x-txn: again\r\n");
+            backend.expect("\r\n\r\n");
+            client.close();
+            node.wait_for_iteration();
+            if answers_first {
+                backend.try_send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                node.wait_for_iteration();
+            }
+            let mut second = node.client();
+            second.send(&request_of_effect(effect, "again"));
+            let head = second.expect("\r\n\r\n");
+            assert!(head.starts_with("HTTP/1.1 409 "), "{head} for {effect}");
+            assert!(node.backend.has_no_pending_connection(), "{effect}");
+        }
+    }
+}
+
+/// Guards against refusing a request that its client sends once more because it was never executed.
+#[test]
+fn id_of_a_request_that_was_not_executed_is_served_when_it_comes_again() {
+    let (node, mut watch) = node_without_ready_backend();
+    let mut client = node.client();
+    client.send(&report_request("again", 5000));
+    node.wait_for_iteration();
+    client.close();
+    node.wait_for_iteration();
+    make_ready(&node, &mut watch);
+    serve_next_request(&node, "again");
+}
+
+/// Guards against a client that keeps the loop busy with empty lines.
+#[test]
+fn client_that_sends_empty_lines_without_end_blocks_no_request() {
+    let node = TestNode::start();
+    let senders: Vec<_> = (0..2)
+        .map(|_| {
+            let mut client = node.client();
+            let empty_lines = "\r\n".repeat(500_000);
+            std::thread::spawn(move || while client.try_send(&empty_lines) {})
+        })
+        .collect();
+    for id in ["first", "second", "third"] {
+        let mut client = node.client();
+        client.send(&report_request(id, 15_000));
+        let mut backend = node.backend.accept();
+        backend.expect(&format!("x-txn: {id}\r\n"));
+        backend.expect("body");
+        backend.serve("200 OK\r\nConnection: close", id);
+        client.expect(&format!("\r\n\r\n{id}"));
+    }
+    drop(node);
+    for sender in senders {
+        sender.join().unwrap();
+    }
+}
