Count a backend as removed once another process is listed at its address

Cause: backends are told apart by uid alone, and two could be ready at one address. AddressOwners keeps the backend that was started there last; the other counts as removed until it is listed with a later start or another address. Connections to a backend that starts anew at its address close as well.

--- a/crates/node/src/discovery/endpoint_list.rs
+++ b/crates/node/src/discovery/endpoint_list.rs
@@ -8,6 +8,7 @@
     BackendId, CellId, Endpoint, EndpointState, Event, KindId, Nanos, UpdateKind, ZoneId,
 };
 
+use super::address_owners::{AddressOwners, Claim, ClaimOutcome};
 use super::update::{EndpointUpdate, ListedEndpoint};
 use crate::clock::{MS, SECOND};
 use crate::start_time::{StartObservation, StartTimes};
@@ -16,6 +17,9 @@
 /// again, and what is known about the backend must still apply then. No attempt at a removed
 /// backend is in flight for that long.
 const REMOVED_ENDPOINT_RETENTION: Nanos = 60 * SECOND;
+/// How long a backend is remembered whose address another one owns and whose end no list has told,
+/// in nanoseconds: a whole list may contain it again and must not make it ready.
+const SUPERSEDED_ENDPOINT_RETENTION: Nanos = 3_600 * SECOND;
 /// Maximum number of names of zones, and of kinds; any further name counts as the last of them.
 const MAX_NAMES: usize = 1_000;
 
@@ -36,8 +40,8 @@
 pub struct AppliedUpdate {
     /// The event to pass to the decision module.
     pub event: Event,
-    /// Backends whose connections must be closed: those that are draining or removed, and those
-    /// whose address has changed.
+    /// Backends whose connections must be closed: those that are draining, removed or superseded at
+    /// their address, and those that have another address or a new process.
     pub disconnect: Vec<BackendId>,
 }
 
@@ -50,20 +54,35 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     endpoints: HashMap<BackendId, StoredEndpoint>,
+    address_owners: AddressOwners,
     start_times: StartTimes,
 }
 
 struct StoredEndpoint {
     address: Option<SocketAddr>,
-    state: EndpointState,
+    /// The entry as the decision module has it.
+    endpoint: Endpoint,
     /// When the backend last started, as listed, in Unix milliseconds by its own clock; 0 if
     /// unknown.
     boot_ms: u64,
-    /// When the backend last started, in nanoseconds on the node's clock; `None` if that was long
-    /// ago or is unknown.
-    started_at: Option<Nanos>,
     /// When an update last listed the backend, or a full list first omitted it.
     last_update_at: Nanos,
+    /// Whether the backend counts as removed although the last update that listed it says
+    /// otherwise.
+    is_superseded: bool,
+}
+
+impl StoredEndpoint {
+    /// Whether the backend is removed and need not be remembered any longer.
+    fn is_forgotten(&self, now: Nanos) -> bool {
+        let retention = if self.is_superseded {
+            SUPERSEDED_ENDPOINT_RETENTION
+        } else {
+            REMOVED_ENDPOINT_RETENTION
+        };
+        self.endpoint.state == EndpointState::Removed
+            && now >= self.last_update_at.saturating_add(retention)
+    }
 }
 
 impl EndpointList {
@@ -76,6 +95,7 @@
             zones,
             kinds,
             endpoints: HashMap::new(),
+            address_owners: AddressOwners::default(),
             start_times: StartTimes::default(),
         }
     }
@@ -84,7 +104,7 @@
     pub fn ready_address(&self, id: BackendId) -> Option<SocketAddr> {
         self.endpoints
             .get(&id)
-            .filter(|stored| stored.state == EndpointState::Ready)?
+            .filter(|stored| stored.endpoint.state == EndpointState::Ready)?
             .address
     }
 
@@ -92,7 +112,7 @@
     pub fn has_ready(&self) -> bool {
         self.endpoints
             .values()
-            .any(|stored| stored.state == EndpointState::Ready)
+            .any(|stored| stored.endpoint.state == EndpointState::Ready)
     }
 
     /// Applies an update. An older update is applied too, as its sender may have begun to count its
@@ -113,7 +133,10 @@
         if update.all {
             self.remove_unlisted(now, &endpoints, &mut disconnect);
         }
+        let superseded = self.claim_addresses(now, update, freshness, &mut endpoints);
         self.store(now, update, freshness, &endpoints, &mut disconnect);
+        disconnect.extend(superseded.iter().map(|endpoint| endpoint.id));
+        endpoints.extend(superseded);
         self.forget_removed(now);
         let kind = match (freshness, update.all) {
             (Freshness::Cached, _) => UpdateKind::Cached,
@@ -163,7 +186,7 @@
             .get(&id)
             .filter(|stored| !is_new_start(stored, entry, freshness));
         let started_at = match stored {
-            Some(stored) => stored.started_at,
+            Some(stored) => stored.endpoint.started_at,
             None => self.start_times.started_at(entry.boot_ms, observation),
         };
         let mut hasher = fnv::FnvHasher::default();
@@ -188,9 +211,9 @@
                 .endpoints
                 .get(&endpoint.id)
                 .filter(|stored| entry.boot_ms <= stored.boot_ms)
-                .filter(|stored| stored.state != EndpointState::Ready);
+                .filter(|stored| stored.endpoint.state != EndpointState::Ready);
             if let Some(unready) = unready {
-                endpoint.state = unready.state;
+                endpoint.state = unready.endpoint.state;
             }
         }
     }
@@ -204,14 +227,77 @@
     ) {
         let listed: HashSet<BackendId> = endpoints.iter().map(|endpoint| endpoint.id).collect();
         for (id, stored) in &mut self.endpoints {
-            if !listed.contains(id) && stored.state != EndpointState::Removed {
+            if !listed.contains(id) && stored.endpoint.state != EndpointState::Removed {
                 disconnect.push(*id);
-                stored.state = EndpointState::Removed;
+                stored.endpoint.state = EndpointState::Removed;
                 stored.last_update_at = now;
             }
         }
     }
 
+    /// Finds out which backend owns the address of each entry. Marks entries that are superseded as
+    /// removed, and returns the backends that the update supersedes and does not list itself.
+    fn claim_addresses(
+        &mut self,
+        now: Nanos,
+        update: &EndpointUpdate,
+        freshness: Freshness,
+        endpoints: &mut [Endpoint],
+    ) -> Vec<Endpoint> {
+        let mut superseded = Vec::new();
+        for (index, entry) in update.entries.iter().enumerate() {
+            let id = endpoints[index].id;
+            self.release_old_address(id, entry);
+            let Some(address) = entry
+                .address
+                .filter(|_| entry.state != EndpointState::Removed)
+            else {
+                continue;
+            };
+            let stored = self.endpoints.get(&id);
+            let claim = Claim {
+                backend: id,
+                boot_ms: entry.boot_ms,
+                is_new: stored.is_none_or(|stored| {
+                    stored.address != entry.address || is_new_start(stored, entry, freshness)
+                }),
+                freshness,
+            };
+            match self.address_owners.claim(address, claim) {
+                ClaimOutcome::Owner => {}
+                ClaimOutcome::Superseded => endpoints[index].state = EndpointState::Removed,
+                ClaimOutcome::Supersedes(old) => {
+                    for endpoint in endpoints.iter_mut().filter(|endpoint| endpoint.id == old) {
+                        endpoint.state = EndpointState::Removed;
+                    }
+                    let stored = self.remove_superseded(now, old);
+                    superseded.extend(stored.filter(|stored| !is_listed(endpoints, stored.id)));
+                }
+            }
+        }
+        superseded
+    }
+
+    fn release_old_address(&mut self, id: BackendId, entry: &ListedEndpoint) {
+        let old_address = self.endpoints.get(&id).and_then(|stored| stored.address);
+        if let Some(address) = old_address.filter(|address| Some(*address) != entry.address) {
+            self.address_owners.release(address, id);
+        }
+    }
+
+    /// Marks a backend as removed whose address another one owns now; returns its entry, unless it
+    /// was removed before.
+    fn remove_superseded(&mut self, now: Nanos, id: BackendId) -> Option<Endpoint> {
+        let stored = self.endpoints.get_mut(&id)?;
+        if stored.endpoint.state == EndpointState::Removed {
+            return None;
+        }
+        stored.endpoint.state = EndpointState::Removed;
+        stored.last_update_at = now;
+        stored.is_superseded = true;
+        Some(stored.endpoint.clone())
+    }
+
     fn store(
         &mut self,
         now: Nanos,
@@ -222,7 +308,9 @@
     ) {
         for (entry, endpoint) in update.entries.iter().zip(endpoints) {
             let stored = self.endpoints.get(&endpoint.id);
-            let has_address_changed = stored.is_some_and(|stored| stored.address != entry.address);
+            let is_other_process = stored.is_some_and(|stored| {
+                stored.address != entry.address || is_new_start(stored, entry, freshness)
+            });
             let boot_ms = match stored {
                 Some(stored) if !is_new_start(stored, entry, freshness) => stored.boot_ms,
                 _ => entry.boot_ms,
@@ -231,13 +319,14 @@
                 endpoint.id,
                 StoredEndpoint {
                     address: entry.address,
-                    state: endpoint.state,
+                    endpoint: endpoint.clone(),
                     boot_ms,
-                    started_at: endpoint.started_at,
                     last_update_at: now,
+                    is_superseded: endpoint.state == EndpointState::Removed
+                        && entry.state != EndpointState::Removed,
                 },
             );
-            if has_address_changed || endpoint.state != EndpointState::Ready {
+            if is_other_process || endpoint.state != EndpointState::Ready {
                 disconnect.push(endpoint.id);
             }
         }
@@ -246,12 +335,13 @@
     /// Forgets backends that were removed [`REMOVED_ENDPOINT_RETENTION`] ago or earlier. Uids are
     /// never reused, so a day of releases would fill the list otherwise.
     fn forget_removed(&mut self, now: Nanos) {
-        self.endpoints.retain(|_, stored| {
-            stored.state != EndpointState::Removed
-                || now
-                    < stored
-                        .last_update_at
-                        .saturating_add(REMOVED_ENDPOINT_RETENTION)
+        let address_owners = &mut self.address_owners;
+        self.endpoints.retain(|id, stored| {
+            let is_forgotten = stored.is_forgotten(now);
+            if let Some(address) = stored.address.filter(|_| is_forgotten) {
+                address_owners.release(address, *id);
+            }
+            !is_forgotten
         });
         self.ids.retain(|_, id| self.endpoints.contains_key(id));
     }
@@ -271,7 +361,10 @@
     fn trace_line(&self, entry: &ListedEndpoint, now: Nanos) -> Option<String> {
         let id = self.ids.get(&entry.uid)?;
         let address = entry.address.map_or("-".into(), |a| a.to_string());
-        let started_at = self.endpoints.get(id).and_then(|stored| stored.started_at);
+        let started_at = self
+            .endpoints
+            .get(id)
+            .and_then(|stored| stored.endpoint.started_at);
         let age_ms = started_at.map_or(-1, |at| (now as i64 - at as i64) / MS as i64);
         Some(format!(
             "b={} uid={} at={address} az={} model={} cell={} state={:?} boot_ms={} age_ms={age_ms}",
@@ -280,6 +373,10 @@
     }
 }
 
+fn is_listed(endpoints: &[Endpoint], id: BackendId) -> bool {
+    endpoints.iter().any(|endpoint| endpoint.id == id)
+}
+
 /// Whether an entry lists a new start of the backend. If the backend's clock was set back, a new
 /// start may be earlier than the stored one, so any other start counts as new. An older list may
 /// still have the start before the stored one, so there only a later start counts.
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -7,6 +7,7 @@
 //! On the wire, the backends are `targets`, the revision is `rev`, and the states draining and
 //! removed are `Terminating` and `Gone`; [`EndpointUpdate`] translates these names.
 
+mod address_owners;
 mod backoff;
 mod call;
 mod client;
--- a/crates/node/tests/service/backend_connections.rs
+++ b/crates/node/tests/service/backend_connections.rs
@@ -123,3 +123,45 @@
     client.send(&report_request("last", 5000));
     node.backend.accept().expect("x-txn: last\r\n");
 }
+
+/// Guards against sending to a new process under the uid of the one before it at its address, while
+/// the list has not told the end of the old one, or never does.
+#[test]
+fn backend_at_the_address_of_another_supersedes_that_one_until_it_starts_anew() {
+    let node = TestNode::with_environment(|config| config, &[("BALANCER_TRACE", "1")]);
+    let address = node.backend.address();
+    let old = endpoint_json("s-1", address, "Ready");
+    let new = endpoint_json("s-2", address, "Ready");
+    let mut watch = node.discovery.accept();
+    watch.send(&watch_response(8, std::slice::from_ref(&new)));
+    // A whole list that still has the old one changes nothing.
+    let whole_list = watch_update(9, &[new, old.clone()]).replace("false", "true ");
+    watch.send(&whole_list);
+    node.wait_for_iteration();
+    let mut client = node.client();
+    client.send(&report_request("r0", 5000));
+    let mut backend = node.backend.accept();
+    for number in 0..20 {
+        backend.expect("body");
+        backend.serve("200 OK", "served");
+        client.expect("served");
+        client.send(&report_request(&format!("r{}", number + 1), 5000));
+    }
+    let restarted = old.replace("\"boot_ms\":0", "\"boot_ms\":9");
+    watch.send(&watch_update(10, &[restarted]));
+    node.wait_for_iteration();
+    let mut other_client = node.client();
+    other_client.send(&report_request("again", 5000));
+    node.backend.accept().expect("x-txn: again\r\n");
+    let log = node.stop_and_read_log();
+    let (before_restart, after_restart) = log.split_once("notified rev=10 ").unwrap();
+    // The node numbers the backends in the order in which it met them.
+    let attempts = |log: &str, backend: &str| {
+        let is_attempt = |line: &&str| line.contains(" send id=") && line.contains(backend);
+        log.lines().filter(is_attempt).count()
+    };
+    assert_eq!(attempts(before_restart, " b=0 "), 0, "{log}");
+    assert!(attempts(before_restart, " b=1 ") >= 20, "{log}");
+    assert_eq!(attempts(after_restart, " b=1 "), 0, "{log}");
+    assert!(attempts(after_restart, " b=0 ") > 0, "{log}");
+}
