--- a/crates/node/src/downstream/connection/mod.rs
+++ b/crates/node/src/downstream/connection/mod.rs
@@ -1,10 +1,12 @@
 //! A client connection: its state, time limits and events.
 
+mod body_pace;
 mod events;
 mod held;
 
 use std::os::fd::OwnedFd;
 
+use body_pace::BodyPace;
 use held::Held;
 use kitefork_balancer::Nanos;
 
@@ -92,6 +94,8 @@
     request: Option<u32>,
     /// What waits until the bytes behind the last message show whether its length is right.
     held: Option<Held>,
+    /// The pace of the body that is being received; `None` unless its length is known.
+    body_pace: Option<BodyPace>,
     /// The client has closed its side, or the connection is broken. A half-close can't be
     /// distinguished from a full close.
     peer_closed: bool,
@@ -120,6 +124,7 @@
             state: ConnectionState::Open,
             request: None,
             held: None,
+            body_pace: None,
             peer_closed: false,
             state_since: now,
             deadline: Deadline::new(),
@@ -195,7 +200,10 @@
             }
             ConnectionState::Open if self.is_outbox_empty() => {
                 let next_byte_deadline = self.input.last_byte_at() + BODY_PAUSE_TIMEOUT;
-                return (self.state_since + STALL_TIMEOUT).min(next_byte_deadline);
+                let check_at = self.body_pace.map_or(Nanos::MAX, |pace| pace.check_at());
+                return (self.state_since + STALL_TIMEOUT)
+                    .min(next_byte_deadline)
+                    .min(check_at);
             }
             ConnectionState::Open | ConnectionState::Closing => STALL_TIMEOUT,
         };
@@ -244,6 +252,34 @@
         self.state == ConnectionState::Open && self.is_outbox_empty() && !self.is_idle()
     }
 
+    /// Measures the pace of the body that is being received, if its length is known.
+    fn track_body_pace(&mut self, now: Nanos) {
+        let remaining = self.input.remaining_body();
+        self.body_pace = match (self.body_pace, remaining) {
+            (Some(pace), Some(_)) => Some(pace),
+            (None, Some(remaining)) => Some(BodyPace::new(now, remaining)),
+            (_, None) => None,
+        };
+    }
+
+    /// Whether the deadline of a body that has come so far is only that of its pace, and the pace
+    /// is sufficient. Measures it anew then.
+    pub fn extend_for_body_pace(&mut self, now: Nanos) -> bool {
+        let (Some(pace), Some(remaining)) = (self.body_pace, self.input.remaining_body()) else {
+            return false;
+        };
+        let complete_by = self.state_since.saturating_add(STALL_TIMEOUT);
+        let pause_ends_at = self.input.last_byte_at() + BODY_PAUSE_TIMEOUT;
+        if now >= complete_by
+            || now >= pause_ends_at
+            || !pace.is_sufficient(now, remaining, complete_by)
+        {
+            return false;
+        }
+        self.body_pace = Some(BodyPace::new(now, remaining));
+        true
+    }
+
     /// Whether the last message is answered and at least a part of the next one has been received.
     fn has_next_message(&self) -> bool {
         self.accepts_message() && self.input.has_next_message()
@@ -332,6 +368,7 @@
         if let Err(error) = self.input.parse() {
             return Some(ReadEvent::Invalid(error));
         }
+        self.track_body_pace(now);
         if self.input.awaits_continue() {
             // The interim response is short and precedes any answer, so it always fits in the
             // outbox.
--- a/crates/node/src/downstream/input.rs
+++ b/crates/node/src/downstream/input.rs
@@ -102,6 +102,12 @@
         self.parser.head.is_some()
     }
 
+    /// Number of bytes of the current message's body that have not been received; `None` unless its
+    /// head is complete and gives the body's length.
+    pub fn remaining_body(&self) -> Option<usize> {
+        self.parser.remaining_body()
+    }
+
     /// Whether the inbox holds no unparsed bytes.
     pub fn is_empty(&self) -> bool {
         self.inbox.is_empty()
--- a/crates/node/src/http1/parser.rs
+++ b/crates/node/src/http1/parser.rs
@@ -143,6 +143,15 @@
         self.body.is_empty() && matches!(self.state, State::Length { .. } | State::ChunkSize)
     }
 
+    /// Number of bytes of the body that have not been received; `None` unless the body's length is
+    /// known.
+    pub fn remaining_body(&self) -> Option<usize> {
+        match self.state {
+            State::Length { remaining } => Some(remaining),
+            _ => None,
+        }
+    }
+
     /// Handles the end of the peer's stream, which completes a close-delimited body. Returns
     /// whether the message is complete.
     pub fn end_of_input(&mut self) -> bool {
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -72,6 +72,9 @@
         if !connection.is_due(number, &mut self.event_loop) {
             return;
         }
+        if connection.extend_for_body_pace(self.event_loop.now()) {
+            return self.flush_client(number);
+        }
         if connection.has_partial_message() {
             let reply = Reply::closing(408, b"the request did not come whole\n");
             self.reply(number, reply);
--- a/crates/node/src/ring_buffer/body.rs
+++ b/crates/node/src/ring_buffer/body.rs
@@ -4,6 +4,10 @@
 
 use super::BufferBudget;
 
+/// Bodies of up to this many bytes are accepted even if the budget is exhausted: a few clients with
+/// long bodies must not keep out all others. The number of connections bounds what this adds.
+pub(super) const UNLIMITED_BODY_BYTES: usize = 4 * 1024;
+
 /// The body of a message, whose bytes are counted against a budget.
 #[derive(Default)]
 pub struct Body {
@@ -20,11 +24,12 @@
         }
     }
 
-    /// Appends `additional`, unless the budget is exhausted; returns whether the bytes were
-    /// appended.
+    /// Appends `additional`, unless the budget is exhausted and the body would be longer than
+    /// [`UNLIMITED_BODY_BYTES`]; returns whether the bytes were appended.
     #[must_use]
     pub fn extend(&mut self, additional: &[u8]) -> bool {
-        if self.budget.is_exhausted() && !additional.is_empty() {
+        let is_short = self.bytes.len() + additional.len() <= UNLIMITED_BODY_BYTES;
+        if self.budget.is_exhausted() && !is_short {
             return false;
         }
         self.budget.resize(0, additional.len());
--- a/crates/node/tests/service/client_connections.rs
+++ b/crates/node/tests/service/client_connections.rs
@@ -136,3 +136,51 @@
     first.expect("two");
     assert!(node.open_descriptors() <= 64, "{}", node.open_descriptors());
 }
+
+/// The beginning of a request with a body of 64 KiB, of which `body_bytes` are sent.
+fn part_of_long_request(id: &str, body_bytes: usize) -> String {
+    let request = report_request(id, 9000).replace("Content-Length: 4", "Content-Length: 65536");
+    let (head, _) = request.split_at(request.len() - "body".len());
+    head.to_string() + &"x".repeat(body_bytes)
+}
+
+/// Guards against rejecting usual requests while a few clients with half-sent long bodies hold the
+/// memory for bodies.
+#[test]
+fn short_request_is_served_while_half_sent_bodies_use_up_the_buffer_budget() {
+    // A quarter of 4 MiB is for buffers.
+    let node = TestNode::with_config(|config| {
+        config.replace(r#""sockets":128"#, r#""sockets":128,"memory_mb":4"#)
+    });
+    let mut clients = Vec::new();
+    for number in 0..26 {
+        let body_bytes = if number < 16 { 65_400 } else { 1_500 };
+        let mut client = node.client();
+        client.send(&part_of_long_request(&format!("half{number}"), body_bytes));
+        node.wait_for_iteration();
+        clients.push(client);
+    }
+    let mut client = node.client();
+    client.send(&report_request("short", 9000));
+    let mut backend = node.backend.accept();
+    backend.expect("x-txn: short\r\n");
+    backend.expect("body");
+    backend.serve("200 OK", "served");
+    client.expect("served");
+}
+
+/// Guards against clients that hold the memory of a long body with a byte now and then.
+#[test]
+fn long_body_that_arrives_too_slowly_gets_408_within_three_seconds() {
+    let node = TestNode::start();
+    let started_at = std::time::Instant::now();
+    let mut client = node.client();
+    client.send(&part_of_long_request("slow", 32 * 1024));
+    while !client.has_unread_bytes() && started_at.elapsed().as_secs() < 4 {
+        std::thread::sleep(std::time::Duration::from_millis(200));
+        client.try_send("x");
+    }
+    let elapsed = started_at.elapsed();
+    assert!(client.expect("\r\n\r\n").starts_with("HTTP/1.1 408 "));
+    assert!(elapsed < std::time::Duration::from_secs(3), "{elapsed:?}");
+}
