Hold a request for 0.25 s at most, and answer held ones at the last answers

A request is held while what stands behind it may begin another one. 0.1 s left a client on a busy machine little time for the rest of its next head, and a request that was held when a node gave its last answers could be closed with none. The limit is 0.25 s, and give_last_answers answers held requests with 408. Two tests wait for the node on a connection that is open already, with the same assertions.

--- a/crates/node/src/downstream/connection/held.rs
+++ b/crates/node/src/downstream/connection/held.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Whether a request or an answer waits for what follows the request.
+    pub fn is_holding(&self) -> bool {
+        self.held.is_some()
+    }
+
     fn hold(&mut self, held: Held, now: Nanos) {
         self.held = Some(held);
         self.state_since = now;
--- a/crates/node/src/downstream/connection/mod.rs
+++ b/crates/node/src/downstream/connection/mod.rs
@@ -33,7 +33,7 @@
 const STALL_TIMEOUT: Nanos = 10 * SECOND;
 /// Time limit for the bytes behind a request to show whether they begin another one, in
 /// nanoseconds. Until then the request, or its answer, is held.
-const FOLLOWING_TIMEOUT: Nanos = 100 * MS;
+const FOLLOWING_TIMEOUT: Nanos = 250 * MS;
 /// How long a connection stays open after its last answer is written, in nanoseconds, unless the
 /// client closes it before.
 const LINGER_TIMEOUT: Nanos = SECOND;
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -76,9 +76,7 @@
             return self.flush_client(number);
         }
         if connection.has_partial_message() {
-            let reply = Reply::closing(408, b"the request did not come whole\n");
-            self.reply(number, reply);
-            return self.clients.push_answered(number);
+            return self.reply_incomplete(number);
         }
         // On an idle connection, a request may have arrived since this iteration's poll, so the
         // rules decide whether the connection may be closed.
@@ -93,6 +91,13 @@
         }
     }
 
+    /// Answers a request that is not complete, or behind which bytes stand that may belong to it.
+    pub(super) fn reply_incomplete(&mut self, number: u32) {
+        let reply = Reply::closing(408, b"the request did not come whole\n");
+        self.reply(number, reply);
+        self.clients.push_answered(number);
+    }
+
     pub(super) fn client_ready(&mut self, number: u32, flags: EventFlags) {
         let Some(connection) = self.clients.get_mut(number) else {
             return;
--- a/crates/node/src/node/shutdown.rs
+++ b/crates/node/src/node/shutdown.rs
@@ -76,6 +76,15 @@
         for request in self.requests.unanswered() {
             self.requests.fail_for_shutdown(now, request);
         }
+        for number in self.clients.numbers() {
+            if self
+                .clients
+                .get(number)
+                .is_some_and(ClientConnection::is_holding)
+            {
+                self.reply_incomplete(number);
+            }
+        }
         self.flush_pending();
         self.stop_accepting();
         let open = self.clients.len();
--- a/crates/node/tests/protocol_rules/length_mismatch.rs
+++ b/crates/node/tests/protocol_rules/length_mismatch.rs
@@ -165,10 +165,13 @@
     let head_length = next.len() - "body".len();
     for split in [1, 2, 3, 6, 7, 20, 30, head_length - 1, head_length] {
         let node = TestNode::start();
-        let mut client = node.client();
+        let (mut client, mut observer) = (node.client(), node.client());
+        observer.send(HEALTH_CHECK).expect("ok\n");
         client.send(&(report_request("whole", 5_000) + &next[..split]));
         if split < head_length {
-            node.wait_for_iteration();
+            // The node has read the request when it answers this.
+            observer.send(HEALTH_CHECK).expect("ok\n");
+            observer.send(HEALTH_CHECK).expect("ok\n");
             assert!(node.backend.has_no_pending_connection(), "{split}");
         }
         client.send(&next[split..]);
@@ -223,8 +226,11 @@
     let (begin, rest) = next.split_at(30);
     client.send(begin);
     node.wait_for_iteration();
+    let mut observer = node.client();
+    observer.send(HEALTH_CHECK).expect("ok\n");
     backend.serve("200 OK", BODY);
-    node.wait_for_iteration();
+    observer.send(HEALTH_CHECK).expect("ok\n");
+    observer.send(HEALTH_CHECK).expect("ok\n");
     assert!(!client.has_unread_bytes());
     client.send(rest);
     expect_served(&mut client, "first");
