Log requests that did not come whole, and count why clients got their answers

The log word incomplete-request names the connection, the transaction ID, the part that is missing and how many bytes were read and not parsed. The counters have answered by reason, the trace the connection of a request and each answer.

--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -1,6 +1,6 @@
 //! Counters of events by kind and reason, which show operators why client connections were closed,
-//! which actions the protocol rules denied, and how often connections could not be made or
-//! accepted.
+//! why clients got their answers, which actions the protocol rules denied, and how often
+//! connections could not be made or accepted.
 //!
 //! The counters are kept until the process ends. Their number is bounded, as kinds and reasons are
 //! string literals in the code.
@@ -46,6 +46,55 @@
     }
 }
 
+/// Why a client got its answer: who made it, and for what reason.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AnswerReason {
+    /// A backend made the answer.
+    Forwarded,
+    /// The decision module rejected the request, or the node is about to end.
+    Rejected,
+    /// The decision module gave the request up.
+    Failed,
+    /// There was no answer in time.
+    TimedOut,
+    /// The message can't be parsed, or its length is wrong.
+    Unparsable,
+    /// The message did not come whole in its time.
+    Incomplete,
+    /// The message is no valid request.
+    Invalid,
+    /// Another request with the same transaction ID is pending or may have been executed.
+    RepeatedId,
+    /// The request table is full.
+    TableFull,
+    /// The client has closed its side.
+    ClientDisconnected,
+    /// So much stands behind the request that a close would not be seen.
+    ClientStateUnknown,
+    /// A request for the health of the node itself.
+    Health,
+}
+
+impl AnswerReason {
+    /// The name of the reason in the trace and in counters, which must not change.
+    pub fn name(self) -> &'static str {
+        match self {
+            AnswerReason::Forwarded => "forwarded",
+            AnswerReason::Rejected => "rejected",
+            AnswerReason::Failed => "failed",
+            AnswerReason::TimedOut => "timed_out",
+            AnswerReason::Unparsable => "unparsable",
+            AnswerReason::Incomplete => "incomplete",
+            AnswerReason::Invalid => "invalid",
+            AnswerReason::RepeatedId => "repeated_id",
+            AnswerReason::TableFull => "table_full",
+            AnswerReason::ClientDisconnected => "client_disconnected",
+            AnswerReason::ClientStateUnknown => "client_state_unknown",
+            AnswerReason::Health => "health",
+        }
+    }
+}
+
 /// Key of a counter; counters are printed in the order of their keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct CounterKey {
@@ -69,6 +118,11 @@
     pub fn add_closed(&mut self, reason: CloseReason) {
         self.add("closed", reason.name());
     }
+
+    /// Increments the counter of answers that clients got for this reason.
+    pub fn add_answered(&mut self, reason: AnswerReason) {
+        self.add("answered", reason.name());
+    }
 }
 
 impl fmt::Display for Counters {
--- a/crates/node/src/diagnostics.rs
+++ b/crates/node/src/diagnostics.rs
@@ -4,7 +4,7 @@
 
 use kitefork_balancer::Nanos;
 
-use crate::counters::{CloseReason, Counters};
+use crate::counters::{AnswerReason, CloseReason, Counters};
 use crate::log::{Log, Trace};
 use crate::rules::{Denial, Violation};
 
@@ -50,6 +50,24 @@
         self.counters.add_closed(reason);
     }
 
+    /// Counts and traces the answer that a client connection gets.
+    pub fn count_answered(
+        &mut self,
+        now: Nanos,
+        connection: u32,
+        status: u16,
+        reason: AnswerReason,
+    ) {
+        self.counters.add_answered(reason);
+        self.trace.line(
+            now,
+            format_args!(
+                "answered connection={connection} status={status} why={}",
+                reason.name()
+            ),
+        );
+    }
+
     /// Counts and traces an action that the protocol rules did not allow; `subject` is the
     /// `key=value` that the trace line ends with.
     pub fn count_denial(&mut self, now: Nanos, denial: Denial, subject: fmt::Arguments) {
--- a/crates/node/src/downstream/connection/mod.rs
+++ b/crates/node/src/downstream/connection/mod.rs
@@ -3,6 +3,7 @@
 mod body_pace;
 mod events;
 mod held;
+mod incomplete;
 
 use std::os::fd::OwnedFd;
 
@@ -195,7 +196,7 @@
             ConnectionState::Open if self.held.is_some() => FOLLOWING_TIMEOUT,
             ConnectionState::Open if self.is_idle() && self.has_sent_message() => IDLE_TIMEOUT,
             ConnectionState::Open if self.is_idle() => HEAD_TIMEOUT,
-            ConnectionState::Open if self.is_outbox_empty() && !self.input.has_head() => {
+            ConnectionState::Open if self.is_outbox_empty() && self.input.head().is_none() => {
                 HEAD_TIMEOUT
             }
             ConnectionState::Open if self.is_outbox_empty() => {
--- a/crates/node/src/downstream/input.rs
+++ b/crates/node/src/downstream/input.rs
@@ -97,9 +97,9 @@
         self.parser.is_at_start() && !self.inbox.is_empty()
     }
 
-    /// Whether the head of the current message is complete.
-    pub fn has_head(&self) -> bool {
-        self.parser.head.is_some()
+    /// The head of the current message; `None` while it is incomplete.
+    pub fn head(&self) -> Option<&Head> {
+        self.parser.head.as_ref()
     }
 
     /// Number of bytes of the current message's body that have not been received; `None` unless its
@@ -113,6 +113,11 @@
         self.inbox.is_empty()
     }
 
+    /// Number of bytes in the inbox, which were read and not parsed.
+    pub fn unparsed_bytes(&self) -> usize {
+        self.inbox.len()
+    }
+
     /// Whether the inbox counts as full: it holds more bytes than a head of the maximum length. The
     /// socket is then not watched for further bytes until the current request is answered.
     pub fn is_full(&self) -> bool {
@@ -230,11 +235,7 @@
     pub fn awaits_continue(&self) -> bool {
         self.parser.awaits_body()
             && !self.continue_sent
-            && self
-                .parser
-                .head
-                .as_ref()
-                .is_some_and(Head::expects_continue)
+            && self.head().is_some_and(Head::expects_continue)
     }
 
     /// Records whether `100 Continue` was sent for the current message.
--- a/crates/node/src/downstream/route.rs
+++ b/crates/node/src/downstream/route.rs
@@ -17,6 +17,16 @@
 /// Maximum length of the transaction ID of a request (`X-Txn`), in bytes.
 const MAX_TXN_BYTES: usize = 256;
 
+/// The transaction ID of a request with this head; `None` if it is absent or not valid.
+pub fn transaction_id(head: &Head) -> Option<&str> {
+    let txn = head.unique("x-txn").ok()?;
+    txn.filter(|txn| is_transaction_id(txn))
+}
+
+fn is_transaction_id(text: &str) -> bool {
+    !text.is_empty() && text.len() <= MAX_TXN_BYTES
+}
+
 /// What a message requests, or why it can't be served.
 pub enum Route {
     /// A request for the health of the node itself.
@@ -136,8 +146,8 @@
     }
 
     fn txn(&self) -> Result<&'a str, InvalidRequest> {
-        self.header("x-txn")?
-            .filter(|txn| !txn.is_empty() && txn.len() <= MAX_TXN_BYTES)
+        let txn = self.header("x-txn")?;
+        txn.filter(|txn| is_transaction_id(txn))
             .ok_or(InvalidRequest::bad_request("X-Txn is missing or bad"))
     }
 
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -3,7 +3,7 @@
 use rustix::event::epoll::EventFlags;
 
 use super::Node;
-use crate::counters::CloseReason;
+use crate::counters::{AnswerReason, CloseReason};
 use crate::downstream::{
     self, ForwardedRequest, InvalidRequest, LocalReplyHead, Message, ReadEvent, Reply, Route,
 };
@@ -93,8 +93,14 @@
 
     /// Answers a request that is not complete, or behind which bytes stand that may belong to it.
     pub(super) fn reply_incomplete(&mut self, number: u32) {
+        let Some(connection) = self.clients.get(number) else {
+            return;
+        };
+        let now = self.event_loop.now();
+        let incomplete = connection.incomplete_message(number, now);
+        self.diagnostics.log(now, "incomplete-request", incomplete);
         let reply = Reply::closing(408, b"the request did not come whole\n");
-        self.reply(number, reply);
+        self.reply(number, AnswerReason::Incomplete, reply);
         self.clients.push_answered(number);
     }
 
@@ -148,10 +154,8 @@
             "bad-request",
             format_args!("status={status} why={error:?}"),
         );
-        self.reply(
-            number,
-            Reply::closing(status, b"the request can't be read\n"),
-        );
+        let reply = Reply::closing(status, b"the request can't be read\n");
+        self.reply(number, AnswerReason::Unparsable, reply);
     }
 
     fn handle_message(&mut self, number: u32, message: Message) {
@@ -168,12 +172,14 @@
                 self.diagnostics
                     .trace(now, format_args!("client-closed connection={number}"));
                 self.count_client_denial(Denial::ClientDisconnected, number);
-                self.reply(number, Reply::closing(503, CLIENT_DISCONNECTED_REJECTED));
+                let reply = Reply::closing(503, CLIENT_DISCONNECTED_REJECTED);
+                self.reply(number, AnswerReason::ClientDisconnected, reply);
             }
             // The connection stays open: each of the requests behind this one gets an answer too.
             Route::Request { .. } if client == ClientState::Unknown => {
                 self.count_client_denial(Denial::ClientStateUnknown, number);
-                self.reply(number, Reply::new(503, CLIENT_STATE_UNKNOWN_REJECTED));
+                let reply = Reply::new(503, CLIENT_STATE_UNKNOWN_REJECTED);
+                self.reply(number, AnswerReason::ClientStateUnknown, reply);
             }
             Route::Health => self.reply_health(number),
             Route::Invalid(invalid) => self.reply_invalid(number, invalid),
@@ -194,7 +200,7 @@
             headers: allow.as_slice(),
             ..Reply::new(status, body.as_bytes())
         };
-        self.reply(number, reply);
+        self.reply(number, AnswerReason::Invalid, reply);
     }
 
     fn reply_health(&mut self, number: u32) {
@@ -207,7 +213,7 @@
         } else {
             Reply::new(200, b"ok\n")
         };
-        self.reply(number, reply);
+        self.reply(number, AnswerReason::Health, reply);
     }
 
     /// Handles the end of a client's input. A full close can't be distinguished from a half-close,
@@ -233,7 +239,7 @@
         } else {
             Reply::closing(502, CLIENT_DISCONNECTED_FAILED)
         };
-        self.reply(number, reply);
+        self.reply(number, AnswerReason::ClientDisconnected, reply);
     }
 
     /// Ends a request whose client can't be served, with its attempt unless that is completely
@@ -265,14 +271,15 @@
         } else {
             Reply::new(502, CLIENT_STATE_UNKNOWN_FAILED)
         };
-        self.reply(number, reply);
+        self.reply(number, AnswerReason::ClientStateUnknown, reply);
     }
 
     fn open_request(&mut self, number: u32, mut spec: RequestSpec, payload: ForwardedRequest) {
         let now = self.event_loop.now();
         if let Some(last_answers_at) = self.shutdown.last_answers_at() {
             if now >= last_answers_at {
-                return self.reply(number, Reply::closing(503, b"the node ends\n"));
+                let reply = Reply::closing(503, b"the node ends\n");
+                return self.reply(number, AnswerReason::Rejected, reply);
             }
             // Limits the timeout of the request to the time of the last answers: an attempt that is
             // in flight when the process ends is cut off, so its request fails.
@@ -289,6 +296,10 @@
         if let Some(connection) = self.clients.get_mut(number) {
             connection.set_request(request);
         }
+        self.diagnostics.trace(
+            now,
+            format_args!("opened connection={number} request={request}"),
+        );
         // Finding the idempotency key requires a search of the headers, so it is done only if the
         // trace is on.
         if self.diagnostics.is_tracing()
@@ -304,35 +315,41 @@
 
     fn reply_open_error(&mut self, number: u32, error: OpenError) {
         let now = self.event_loop.now();
-        let reply = match error {
+        let (reason, reply) = match error {
             OpenError::TableFull => {
                 self.diagnostics.log(now, "requests-full", "rejected");
-                Reply::new(503, b"too many requests are held\n")
+                let reply = Reply::new(503, b"too many requests are held\n");
+                (AnswerReason::TableFull, reply)
             }
             OpenError::DuplicateId => {
                 let details = "status=409 why=its X-Txn is open";
                 self.diagnostics.log(now, "bad-request", details);
-                Reply::new(409, b"a request with this X-Txn is open\n")
+                let reply = Reply::new(409, b"a request with this X-Txn is open\n");
+                (AnswerReason::RepeatedId, reply)
             }
             OpenError::ExecutedId => {
                 let details = "status=409 why=its X-Txn may have been executed";
                 self.diagnostics.log(now, "bad-request", details);
-                Reply::new(409, b"a request with this X-Txn may have been executed\n")
+                let reply = Reply::new(409, b"a request with this X-Txn may have been executed\n");
+                (AnswerReason::RepeatedId, reply)
             }
         };
-        self.reply(number, reply);
+        self.reply(number, reason, reply);
     }
 
     /// Queues an answer on a connection. The connection closes after the answer if `reply` says so,
     /// the node is shutting down, or the client has closed its side.
-    pub(super) fn reply(&mut self, number: u32, reply: Reply) {
+    pub(super) fn reply(&mut self, number: u32, reason: AnswerReason, reply: Reply) {
         let is_draining = self.shutdown.is_draining();
         if let Some(connection) = self.clients.get_mut(number) {
+            let now = self.event_loop.now();
+            self.diagnostics
+                .count_answered(now, number, reply.status, reason);
             let reply = Reply {
                 close: reply.close || is_draining || connection.is_peer_closed(),
                 ..reply
             };
-            connection.queue_reply(self.event_loop.now(), reply);
+            connection.queue_reply(now, reply);
         }
     }
 
@@ -342,16 +359,19 @@
             .retry_after
             .as_deref()
             .map(|seconds| ("retry-after", seconds));
-        let body = match local_reply {
-            LocalReply::Rejected { .. } => "refused: trying again is harmless\n",
-            LocalReply::Failed => "failed\n",
-            LocalReply::TimedOut => "no answer in time\n",
+        let (reason, body) = match local_reply {
+            LocalReply::Rejected { .. } => (
+                AnswerReason::Rejected,
+                "refused: trying again is harmless\n",
+            ),
+            LocalReply::Failed => (AnswerReason::Failed, "failed\n"),
+            LocalReply::TimedOut => (AnswerReason::TimedOut, "no answer in time\n"),
         };
         let reply = Reply {
             headers: retry_after.as_slice(),
             ..Reply::new(head.status, body.as_bytes())
         };
-        self.reply(number, reply);
+        self.reply(number, reason, reply);
         self.clients.push_answered(number);
     }
 
--- a/crates/node/src/node/upstream.rs
+++ b/crates/node/src/node/upstream.rs
@@ -4,6 +4,7 @@
 
 use super::Node;
 use crate::clock::MS;
+use crate::counters::AnswerReason;
 use crate::descriptor_budget::Purpose;
 use crate::downstream::Reply;
 use crate::http1;
@@ -402,7 +403,7 @@
             headers: &headers,
             ..Reply::new(status, &answer.body)
         };
-        self.reply(connection, reply);
+        self.reply(connection, AnswerReason::Forwarded, reply);
         self.clients.push_answered(connection);
     }
 }
