Add two failing tests of requests that have come whole and are not answered in their time

Both tests stop the node, send a whole request of a class that is not idempotent, and let the node go on: a request of 16 or 32 reads, and one with Expect whose head ends with the first read. Both get 408 after 2 s instead of their answer, while their clients wait 1.5 s.

--- a/crates/node/tests/protocol_rules/mod.rs
+++ b/crates/node/tests/protocol_rules/mod.rs
@@ -6,6 +6,7 @@
 mod half_close;
 mod length_mismatch;
 mod log;
+mod request_forms;
 mod unframed;
 
 use std::sync::Arc;
