Parse what the last read of an iteration brought from a client

Cause: since a client connection is read 16 times at most in an iteration, and parsed before each read only. What the 16th read brought stayed in the inbox; if the socket was empty then, no poll reported the connection again until the limit of 2 s for a pause in a body gave 408. Reads are 2 KiB long, so a request of 30 to 32 KiB or 62 to 64 KiB that has arrived whole meets it. The bytes of the last read are now parsed, and what is held, or stands behind a waiting request, is looked at again.

The class of bug: bytes are taken out of the kernel and nothing is scheduled to handle them.

--- a/crates/node/src/downstream/connection/mod.rs
+++ b/crates/node/src/downstream/connection/mod.rs
@@ -325,16 +325,8 @@
         let arrived_at = self.input.earliest_arrival(now, previous_poll_at);
         let mut has_read = false;
         for _ in 0..MAX_READS_PER_ITERATION {
-            if self.accepts_message()
-                && let Some(event) = self.parse(now)
-            {
-                let ReadEvent::Message(message) = event else {
-                    return event;
-                };
-                if has_read {
-                    self.input.set_first_byte_at(arrived_at);
-                }
-                return self.complete_message(message, now, arrived_at);
+            if let Some(event) = self.read_message(now, arrived_at, has_read) {
+                return event;
             }
             match self.input.fill(&self.socket, now, arrived_at) {
                 // A connection that is no longer open is read once per loop iteration: a client
@@ -354,21 +346,40 @@
                 ReadOutcome::Broken => return ReadEvent::Broken,
             }
         }
-        // The next poll reports the socket again.
+        // The next poll reports what the socket still has, but not what was read last.
         self.input.note_unread();
-        ReadEvent::Incomplete
+        match self.read_message(now, arrived_at, has_read) {
+            Some(event) => event,
+            None => self.release_held(),
+        }
     }
 
-    fn parse(&mut self, now: Nanos) -> Option<ReadEvent> {
-        if self.input.is_empty() {
+    /// Parses the inbox, unless an answer is pending. Returns an event if a message is complete or
+    /// can't be parsed. `has_read`: bytes were read in this iteration, and arrived at `arrived_at`
+    /// at the earliest.
+    fn read_message(&mut self, now: Nanos, arrived_at: Nanos, has_read: bool) -> Option<ReadEvent> {
+        if !self.accepts_message() {
             return None;
         }
+        let message = match self.parse(now) {
+            Ok(message) => message?,
+            Err(error) => return Some(ReadEvent::Invalid(error)),
+        };
+        if has_read {
+            self.input.set_first_byte_at(arrived_at);
+        }
+        Some(self.complete_message(message, now, arrived_at))
+    }
+
+    /// Parses the inbox, at most up to the end of one message, and returns that message.
+    fn parse(&mut self, now: Nanos) -> Result<Option<Message>, ParseError> {
+        if self.input.is_empty() {
+            return Ok(None);
+        }
         if self.input.begin_message() {
             self.state_since = now;
         }
-        if let Err(error) = self.input.parse() {
-            return Some(ReadEvent::Invalid(error));
-        }
+        self.input.parse()?;
         self.track_body_pace(now);
         if self.input.awaits_continue() {
             // The interim response is short and precedes any answer, so it always fits in the
@@ -376,7 +387,7 @@
             let is_sent = self.outbox.push(CONTINUE_RESPONSE);
             self.input.set_continue_sent(is_sent);
         }
-        self.input.take_message(now).map(ReadEvent::Message)
+        Ok(self.input.take_message(now))
     }
 
     /// The facts by which the rules decide whether the node may close the connection on its own
--- a/crates/node/tests/protocol_rules/length_mismatch.rs
+++ b/crates/node/tests/protocol_rules/length_mismatch.rs
@@ -213,6 +213,22 @@
     }
 }
 
+/// Guards against serving a request whose rest is read with the last read of an iteration, after
+/// which no event of the socket follows (report cb6dcf).
+#[test]
+fn request_whose_rest_takes_all_reads_of_an_iteration_gets_an_error_instead_of_its_answer() {
+    let node = TestNode::with_faults("recv=short", |config| config);
+    let mut client = node.client();
+    client.send(&report_request("cut", 5_000));
+    let mut backend = node.backend.accept();
+    backend.expect("body");
+    client.send("9c41d07be2f30a5d");
+    node.wait_for_iteration();
+    backend.try_send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+    let head = client.expect("\r\n\r\n");
+    assert!(head.starts_with("HTTP/1.1 400 "), "{head}");
+}
+
 /// Guards against answering a request with an error because the next one is split while the answer
 /// comes.
 #[test]
