Parse a body that was read before 100 Continue was written, and never leave read bytes

Cause: while the interim response is in the outbox nothing is parsed; the body was read into the inbox meanwhile, the outbox was written, and the connection was read again only if the parser stood at the start of a message. The interim response is now written as soon as it is queued. For the whole class: the input knows whether bytes were read that the parser has not been fed, whoever leaves such bytes schedules another read, and a message that times out with such bytes is a violation (unparsed_input), logged and counted.

--- a/crates/node/src/downstream/connection/events.rs
+++ b/crates/node/src/downstream/connection/events.rs
@@ -96,7 +96,7 @@
             event_loop.schedule(now + MIN_RETRY, TimerEvent::ResumeClient(number));
         }
         self.update_deadline(number, event_loop);
-        if self.has_next_message() {
+        if self.has_parsable_input() {
             event_loop.schedule(now, TimerEvent::ResumeClient(number));
         }
         Ok(())
--- a/crates/node/src/downstream/connection/mod.rs
+++ b/crates/node/src/downstream/connection/mod.rs
@@ -281,9 +281,10 @@
         true
     }
 
-    /// Whether the last message is answered and at least a part of the next one has been received.
-    fn has_next_message(&self) -> bool {
-        self.accepts_message() && self.input.has_next_message()
+    /// Whether bytes that were read can be parsed now. No poll reports them: whoever leaves them in
+    /// the inbox must schedule another read of the connection.
+    pub fn has_parsable_input(&self) -> bool {
+        self.accepts_message() && self.input.has_new_bytes()
     }
 
     fn accepts_message(&self) -> bool {
@@ -382,20 +383,27 @@
         self.input.parse()?;
         self.track_body_pace(now);
         if self.input.awaits_continue() {
-            // The interim response is short and precedes any answer, so it always fits in the
-            // outbox.
-            let is_sent = self.outbox.push(CONTINUE_RESPONSE);
-            self.input.set_continue_sent(is_sent);
+            self.send_continue();
         }
         Ok(self.input.take_message(now))
     }
 
+    /// Writes the interim response as far as the socket accepts it. While a part of it is left,
+    /// nothing more is parsed.
+    fn send_continue(&mut self) {
+        // The interim response is short and precedes any answer, so it always fits in the outbox.
+        let is_queued = self.outbox.push(CONTINUE_RESPONSE);
+        self.input.set_continue_sent(is_queued);
+        // Whatever fails is seen again when the outbox is flushed after the read.
+        let _ = self.outbox.write_to(&self.socket);
+    }
+
     /// The facts by which the rules decide whether the node may close the connection on its own
     /// initiative.
     pub fn close_facts(&self) -> CloseFacts {
         CloseFacts {
             answer_pending: self.is_answer_pending(),
-            has_unread_input: self.may_have_unread() || self.has_next_message(),
+            has_unread_input: self.may_have_unread() || self.has_parsable_input(),
         }
     }
 
--- a/crates/node/src/downstream/input.rs
+++ b/crates/node/src/downstream/input.rs
@@ -22,6 +22,9 @@
 /// the received bytes can have arrived.
 pub struct ClientInput {
     inbox: RingBuffer,
+    /// Whether the inbox holds bytes that the parser has not been fed: they were read after it was
+    /// last fed, or stand behind a complete message.
+    has_new_bytes: bool,
     parser: Parser,
     arrival: ArrivalTracker,
     /// Earliest possible arrival time of the first byte of the current message; `None` between two
@@ -58,6 +61,7 @@
     pub fn new(now: Nanos, queued_at: Nanos, budget: &BufferBudget) -> ClientInput {
         ClientInput {
             inbox: RingBuffer::new(INBOX_BYTES).with_budget(budget),
+            has_new_bytes: false,
             parser: Parser::requests().with_budget(budget),
             arrival: ArrivalTracker::new(now, queued_at),
             message_started_at: None,
@@ -92,9 +96,9 @@
         self.inbox.is_empty() && self.message_started_at.is_none()
     }
 
-    /// Whether the inbox holds bytes of a message that the parser has not begun to read.
-    pub fn has_next_message(&self) -> bool {
-        self.parser.is_at_start() && !self.inbox.is_empty()
+    /// Whether the inbox holds bytes that the parser has not been fed.
+    pub fn has_new_bytes(&self) -> bool {
+        self.has_new_bytes
     }
 
     /// The head of the current message; `None` while it is incomplete.
@@ -128,6 +132,7 @@
     pub fn discard(&mut self) {
         let count = self.inbox.len();
         self.inbox.consume(count);
+        self.has_new_bytes = false;
     }
 
     /// Discards the bytes that were received and not parsed, then reads the socket once; returns
@@ -166,6 +171,7 @@
         let outcome = self.inbox.read_from(socket);
         match outcome {
             ReadOutcome::Data => {
+                self.has_new_bytes = true;
                 self.last_byte_at = now;
                 if was_empty {
                     self.arrival.set_first_byte_at(arrived_at);
@@ -187,7 +193,7 @@
                 self.arrival.set_first_byte_at(arrived_at);
             }
             match self.inbox.read_from(socket) {
-                ReadOutcome::Data => {}
+                ReadOutcome::Data => self.has_new_bytes = true,
                 ReadOutcome::WouldBlock => {
                     self.arrival.note_empty(now);
                     return DrainOutcome::Drained;
@@ -223,6 +229,7 @@
     pub fn parse(&mut self) -> Result<(), ParseError> {
         let consumed = self.parser.feed(self.inbox.bytes())?;
         self.inbox.consume(consumed);
+        self.has_new_bytes = self.parser.is_done() && !self.inbox.is_empty();
         Ok(())
     }
 
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -76,6 +76,10 @@
             return self.flush_client(number);
         }
         if connection.has_partial_message() {
+            if connection.has_parsable_input() {
+                let subject = format_args!("connection={number}");
+                self.report_violation(Violation::UnparsedInput, subject);
+            }
             return self.reply_incomplete(number);
         }
         // On an idle connection, a request may have arrived since this iteration's poll, so the
--- a/crates/node/src/rules.rs
+++ b/crates/node/src/rules.rs
@@ -304,6 +304,8 @@
     ClosedUnanswered,
     /// A request was answered more than [`ANSWER_GRACE`] after its client's timeout.
     AnsweredLate,
+    /// A message counted as incomplete although bytes of it were read and not parsed.
+    UnparsedInput,
 }
 
 impl Violation {
@@ -313,6 +315,7 @@
             Violation::WrittenLate => "written_late",
             Violation::ClosedUnanswered => "closed_unanswered",
             Violation::AnsweredLate => "answered_late",
+            Violation::UnparsedInput => "unparsed_input",
         }
     }
 }
