Give the unparsed bytes of a client a type that knows whether the parser has seen them

The buffer and its flag are now an Inbox, which sets the flag with each read and clears it when the parser is fed, so that no caller can forget it. Behaviour is the same.

--- a/crates/node/src/downstream/input.rs
+++ b/crates/node/src/downstream/input.rs
@@ -5,8 +5,9 @@
 use kitefork_balancer::Nanos;
 
 use super::arrival::ArrivalTracker;
-use crate::http1::{Following, Head, INBOX_BYTES, MAX_HEAD, ParseError, Parser};
-use crate::ring_buffer::{Body, BufferBudget, ReadOutcome, RingBuffer};
+use super::inbox::Inbox;
+use crate::http1::{Following, Head, MAX_HEAD, ParseError, Parser};
+use crate::ring_buffer::{Body, BufferBudget, ReadOutcome};
 
 /// A complete message from a client, and the earliest time at which it can have begun to arrive.
 pub struct Message {
@@ -21,10 +22,7 @@
 /// The receiving side of a client connection: its inbox, its parser, and the earliest time at which
 /// the received bytes can have arrived.
 pub struct ClientInput {
-    inbox: RingBuffer,
-    /// Whether the inbox holds bytes that the parser has not been fed: they were read after it was
-    /// last fed, or stand behind a complete message.
-    has_new_bytes: bool,
+    inbox: Inbox,
     parser: Parser,
     arrival: ArrivalTracker,
     /// Earliest possible arrival time of the first byte of the current message; `None` between two
@@ -60,8 +58,7 @@
     /// `queued_at`. Its buffers are counted against `budget`.
     pub fn new(now: Nanos, queued_at: Nanos, budget: &BufferBudget) -> ClientInput {
         ClientInput {
-            inbox: RingBuffer::new(INBOX_BYTES).with_budget(budget),
-            has_new_bytes: false,
+            inbox: Inbox::new(budget),
             parser: Parser::requests().with_budget(budget),
             arrival: ArrivalTracker::new(now, queued_at),
             message_started_at: None,
@@ -98,7 +95,7 @@
 
     /// Whether the inbox holds bytes that the parser has not been fed.
     pub fn has_new_bytes(&self) -> bool {
-        self.has_new_bytes
+        self.inbox.has_new_bytes()
     }
 
     /// The head of the current message; `None` while it is incomplete.
@@ -130,9 +127,7 @@
 
     /// Discards the bytes that were received and not parsed.
     pub fn discard(&mut self) {
-        let count = self.inbox.len();
-        self.inbox.consume(count);
-        self.has_new_bytes = false;
+        self.inbox.discard();
     }
 
     /// Discards the bytes that were received and not parsed, then reads the socket once; returns
@@ -171,7 +166,6 @@
         let outcome = self.inbox.read_from(socket);
         match outcome {
             ReadOutcome::Data => {
-                self.has_new_bytes = true;
                 self.last_byte_at = now;
                 if was_empty {
                     self.arrival.set_first_byte_at(arrived_at);
@@ -193,7 +187,7 @@
                 self.arrival.set_first_byte_at(arrived_at);
             }
             match self.inbox.read_from(socket) {
-                ReadOutcome::Data => self.has_new_bytes = true,
+                ReadOutcome::Data => {}
                 ReadOutcome::WouldBlock => {
                     self.arrival.note_empty(now);
                     return DrainOutcome::Drained;
@@ -227,10 +221,7 @@
     ///
     /// The reason why the message can't be parsed.
     pub fn parse(&mut self) -> Result<(), ParseError> {
-        let consumed = self.parser.feed(self.inbox.bytes())?;
-        self.inbox.consume(consumed);
-        self.has_new_bytes = self.parser.is_done() && !self.inbox.is_empty();
-        Ok(())
+        self.inbox.feed(&mut self.parser)
     }
 
     /// What stands behind the last complete message.
--- a/crates/node/src/downstream/mod.rs
+++ b/crates/node/src/downstream/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod eviction;
 mod forwarded_request;
+mod inbox;
 mod input;
 mod listener;
 mod reply;
