Hedge fewer discovery calls while discovery rejects them for overload

Cause: a node hedged an unanswered call every 1.5 s, also where discovery was overloaded and rejected each call after its 3 s, so the hedged calls kept it overloaded. Each such rejection in a row now leaves one hedged call less, until a call is answered or ends in another way; the first 6 s after an outage stay as they were. Class of bug: retries that amplify an overload.

--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -10,7 +10,7 @@
 use super::backoff::{Backoff, DiscoveryMode};
 use super::call::{CallKind, CallProgress, DiscoveryCall, SendOutcome};
 use super::endpoint_list::{AppliedUpdate, EndpointList, Freshness};
-use super::hedging::{self, MAX_UNANSWERED_WATCHES};
+use super::hedging::{self, MAX_UNANSWERED_WATCHES, OverloadDetector};
 use super::update::EndpointUpdate;
 use crate::clock::{MS, SECOND};
 use crate::diagnostics::Diagnostics;
@@ -72,6 +72,7 @@
     /// When the first call was opened; `None` before that.
     first_call_at: Option<Nanos>,
     backoff: Backoff,
+    overload: OverloadDetector,
     sync: SyncState,
     endpoints: EndpointList,
 }
@@ -93,6 +94,7 @@
             confirmed_at: None,
             first_call_at: None,
             backoff: Backoff::new(),
+            overload: OverloadDetector::default(),
             sync: match mode {
                 DiscoveryMode::Polled => SyncState::Synced,
                 DiscoveryMode::Pushed { .. } => SyncState::AwaitingFirstUpdate,
@@ -294,7 +296,8 @@
         }
         // The next check follows whether or not the machine can open the call now.
         event_loop.schedule(self.hedge_at(now), TimerEvent::HedgeWatch);
-        if self.unanswered_watches().count() >= MAX_UNANSWERED_WATCHES {
+        if self.unanswered_watches().count() >= self.overload.max_unanswered_watches() {
+            diagnostics.count("discovery", "not_hedged");
             return FailureNotice::Handled;
         }
         diagnostics.count("discovery", "hedged");
@@ -371,12 +374,16 @@
     pub fn note_progress(&mut self, number: u32, progress: &CallProgress, now: Nanos) {
         if progress.received_object {
             self.sync = SyncState::Synced;
+            self.overload.on_answer();
             self.close_unanswered_watches(number);
         }
-        if progress.end.is_some()
-            && let Some(call) = self.calls.remove(number)
-            && now.saturating_sub(call.opened_at()) > STABLE_WATCH_DURATION
-        {
+        let Some(end) = &progress.end else { return };
+        let Some(call) = self.calls.remove(number) else {
+            return;
+        };
+        let duration = now.saturating_sub(call.opened_at());
+        self.overload.on_end(end, duration);
+        if duration > STABLE_WATCH_DURATION {
             self.backoff.reset();
         }
     }
--- a/crates/node/tests/races/watch.rs
+++ b/crates/node/tests/races/watch.rs
@@ -393,3 +393,29 @@
     assert!(node.discovery.has_no_pending_connection());
     assert!(!second_call.is_closed());
 }
+
+/// Guards against hedged calls that keep an overloaded discovery overloaded: once it has rejected
+/// two calls after they had waited, a node has one call open at a time.
+#[test]
+fn calls_are_not_hedged_while_discovery_rejects_them_late() {
+    let node = TestNode::start();
+    let started_at = Instant::now();
+    let mut calls = Vec::new();
+    let mut opened_at = Vec::new();
+    while started_at.elapsed() < Duration::from_secs(15) {
+        calls.extend(treat(node.discovery.accept(), Treatment::RejectLate));
+        opened_at.push(Instant::now());
+    }
+    let second_rejection_at = opened_at[1] + Duration::from_secs(3);
+    for (index, at) in opened_at.iter().enumerate() {
+        // The rejection is read a moment later.
+        let is_settled = *at > second_rejection_at + Duration::from_millis(100);
+        let is_open = |other: &&Instant| **other + Duration::from_secs(3) > *at;
+        let open = opened_at[..index].iter().filter(is_open).count();
+        assert!(!is_settled || open == 0, "call {index}, {open} are open");
+    }
+    drop(node);
+    for call in calls {
+        call.join().unwrap();
+    }
+}
