--- a/crates/node/src/discovery/hedging.rs
+++ b/crates/node/src/discovery/hedging.rs
@@ -18,8 +18,8 @@
 /// Interval between the starts of two calls while none is answered, in nanoseconds. Three such
 /// intervals and a backoff fit into the 6 s.
 const HEDGE_INTERVAL: Nanos = 1_500 * MS;
-/// Maximum number of unanswered watches at any time. Discovery answers or rejects a call within 3 s, so that
-/// more than two are open only if it does neither.
+/// Maximum number of unanswered watches at any time. Discovery answers or rejects a call within 3
+/// s, so that more than two are open only if it does neither.
 pub(super) const MAX_UNANSWERED_WATCHES: usize = 3;
 
 /// The earliest time for a hedged call, in nanoseconds on the node's clock, if the last call was
