Take an answer that is there after a held-up write for the request's own on a new connection

What callers saw: 502 for the first request on a connection to a backend, where the process was held up for over 5 ms in its write and the backend had answered by then. Cause: what can be read right after a long write counts as older than the request, as a second answer to the request before may be. On a new connection there was none, and what comes before its write is still found by the check before it. On a connection that has had an answer nothing changes.

Measured: answer_to_the_first_request_of_a_connection_is_served_after_a_delayed_write failed before (502); the other tests of unasked answers pass.

--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -19,7 +19,8 @@
 use crate::timer_wheel::Deadline;
 
 /// A write that has taken longer than this, in nanoseconds, may have been delayed before its bytes
-/// were sent, so what can be read right after it may be older than the request.
+/// were sent, so what can be read right after it may be older than the request. This holds only on
+/// a connection that has had an answer: a second one may follow it late.
 const MAX_WRITE_DURATION: Nanos = 5 * MS;
 
 /// How far an upstream connection and the request on it have come.
@@ -247,6 +248,7 @@
         let write_outcome = self.write();
         let duration = clock.read().saturating_sub(started_at);
         if self.state == UpstreamState::Waiting
+            && self.last_answer_at.is_some()
             && duration > MAX_WRITE_DURATION
             && matches!(self.unread(), Unread::Bytes | Unread::Unknown)
         {
--- a/crates/node/tests/races/unasked_answers.rs
+++ b/crates/node/tests/races/unasked_answers.rs
@@ -172,3 +172,17 @@
         },
     );
 }
+
+/// Guards against a 502 for a request on a new connection whose write was held up after its bytes
+/// were sent: no earlier answer can be late there.
+#[test]
+fn answer_to_the_first_request_of_a_connection_is_served_after_a_delayed_write() {
+    let node = TestNode::with_faults("send=late:50", |config| config);
+    let mut client = node.client();
+    client.send(&report_request("first", 5000));
+    let mut backend = node.backend.accept();
+    backend.expect("body");
+    backend.serve("200 OK", "first");
+    let head = client.expect("\r\n\r\n");
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+}
