--- a/crates/node/tests/protocol_rules/mod.rs
+++ b/crates/node/tests/protocol_rules/mod.rs
@@ -100,6 +100,25 @@
     (client, backend)
 }
 
+/// Checks that a backend got each of `requests` requests once, and again only for each attempt that
+/// the node has given up. A process that is held up in a write must give up its attempt (see
+/// `races/unasked_answers.rs`), so a busy machine alone can cause a retry. Shuts the node down.
+fn check_attempts(node: TestNode, backend: &EchoBackend, requests: usize) {
+    let log = node.stop_and_read_log();
+    let counter = |name: &str| -> usize {
+        let value = log.split(&format!(" upstream_closed.{name}=")).nth(1);
+        let value = value.and_then(|rest| rest.split_whitespace().next());
+        value.map_or(0, |digits| digits.parse().unwrap())
+    };
+    assert!(log.contains("kitefork: counts "), "{log}");
+    let given_up = counter("unexpected_bytes") + counter("attempt_ended");
+    let attempts = backend.served();
+    assert!(
+        (requests..=requests + given_up).contains(&attempts),
+        "{attempts} attempts for {requests} requests, {given_up} given up"
+    );
+}
+
 /// Sends `count` requests, on a new connection after every tenth, and checks that each gets a
 /// complete answer; returns how many were served.
 fn send_requests(node: &TestNode, count: usize) -> usize {
