Forward nothing before discovery has sent something, where lists are pushed

Cause: only the answer to GET /_health asked whether discovery had sent anything; a request that the front sent all the same was opened. The reason not_synced is counted.

each_variant of the settings let a node with pushed lists serve after one rejected call; there discovery now answers the second call first, and everything that was asserted is asserted.

--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -71,6 +71,8 @@
     ClientDisconnected,
     /// So much stands behind the request that a close would not be seen.
     ClientStateUnknown,
+    /// Discovery has sent nothing since the start, and the cached list may be old.
+    NotSynced,
     /// A request for the health of the node itself.
     Health,
 }
@@ -90,6 +92,7 @@
             AnswerReason::TableFull => "table_full",
             AnswerReason::ClientDisconnected => "client_disconnected",
             AnswerReason::ClientStateUnknown => "client_state_unknown",
+            AnswerReason::NotSynced => "not_synced",
             AnswerReason::Health => "health",
         }
     }
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -13,6 +13,8 @@
 use crate::ring_buffer::WriteOutcome;
 use crate::rules::{ClientState, ClosePermit, Denial, Violation};
 
+/// Body of the answer while discovery has sent nothing since the start.
+const NOT_SYNCED: &[u8] = b"discovery has not spoken\n";
 /// Body of the answer to a client that has closed its side after sending a request, if the request
 /// was not executed.
 const CLIENT_DISCONNECTED_REJECTED: &[u8] = b"refused: the client has left, nothing ran\n";
@@ -185,6 +187,11 @@
                 let reply = Reply::new(503, CLIENT_STATE_UNKNOWN_REJECTED);
                 self.reply(number, AnswerReason::ClientStateUnknown, reply);
             }
+            // A backend of the cached list may be draining by what discovery knows.
+            Route::Request { .. } if !self.discovery.is_synced() => {
+                let reply = Reply::new(503, NOT_SYNCED);
+                self.reply(number, AnswerReason::NotSynced, reply);
+            }
             Route::Health => self.reply_health(number),
             Route::Invalid(invalid) => self.reply_invalid(number, invalid),
             Route::Request { spec, payload } => self.open_request(number, spec, payload),
@@ -211,7 +218,7 @@
         let reply = if self.shutdown.is_draining() {
             Reply::new(503, b"ending\n")
         } else if !self.discovery.is_synced() {
-            Reply::new(503, b"discovery has not spoken\n")
+            Reply::new(503, NOT_SYNCED)
         } else if !self.discovery.has_ready() {
             Reply::new(503, b"no backend is ready\n")
         } else {
--- a/crates/node/tests/races/watch.rs
+++ b/crates/node/tests/races/watch.rs
@@ -249,6 +249,27 @@
     wait_for(|| other_backend.try_accept()).expect("x-txn: started\r\n");
 }
 
+/// Guards against a send to a backend that drains by what discovery knows, from the cached list of
+/// a node that has just started (review/9).
+#[test]
+fn nothing_is_forwarded_before_discovery_has_sent_something_where_lists_are_pushed() {
+    let node = TestNode::with_config(with_pushed_lists);
+    let mut watch = node.discovery.accept();
+    let mut client = node.client();
+    client.send(&report_request("early", 5000));
+    let head = client.expect("discovery has not spoken\n");
+    assert!(head.starts_with("HTTP/1.1 503 "), "{head}");
+    assert!(node.backend.has_no_pending_connection());
+    watch.send(WATCH_RESPONSE_HEAD).send(&chunk("\n"));
+    node.wait_for_iteration();
+    client.send(&report_request("synced", 5000));
+    let mut backend = node.backend.accept();
+    backend.expect("x-txn: synced\r\n");
+    backend.expect("body");
+    backend.serve("200 OK", "served");
+    client.expect("served");
+}
+
 /// How discovery treats a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Treatment {
--- a/crates/node/tests/service/settings.rs
+++ b/crates/node/tests/service/settings.rs
@@ -1,6 +1,6 @@
 //! The node starts, serves and exits with unusual settings that are allowed.
 
-use crate::common::{TestNode, report_request};
+use crate::common::{TestNode, WATCH_RESPONSE_HEAD, chunk, report_request};
 
 /// A change of the default configuration in one place.
 struct ConfigVariant {
@@ -75,10 +75,16 @@
             .replace(default_text, replacement)
             .replace("subscribe", mode)
     });
-    // Discovery rejects the first call of the node.
+    // Discovery rejects the first call of the node. Where lists are pushed, the node serves only
+    // once discovery has sent something.
     node.discovery
         .accept()
         .send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    let mut watch = (mode == "automatic").then(|| node.discovery.accept());
+    if let Some(watch) = &mut watch {
+        watch.send(WATCH_RESPONSE_HEAD).send(&chunk("\n"));
+        node.wait_for_iteration();
+    }
     let mut client = node.client();
     client.send(&report_request("any", 5000));
     let mut backend = node.backend.accept();
