Let the testbed's clients wait half a second longer, so that late answers are judged as late

Cause: the clients left before the bound by which the referee judges late answers (70 ms after the timeout, 150 ms for the stand-in's own delay), so it judged none. They now wait 0.5 s longer; the bound is unchanged, an answer beyond it is "answered too late", and the figure served counts only answers in time, as before.

--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -1,5 +1,6 @@
 //! Well-behaved clients in an open loop: each request is sent at its planned time, whether earlier
-//! requests have ended or not. Idle connections are reused, and a client gives up at its timeout.
+//! requests have ended or not. Idle connections are reused, and a client gives up some time after
+//! its timeout.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,6 +19,10 @@
 /// Header with the length of the body, by which a backend checks that it got all of it.
 pub(crate) const BODY_LENGTH_HEADER: &str = "x-body-length";
 
+/// How long a client goes on waiting after its timeout: an answer that comes meanwhile is of no
+/// use, but does not count as lost (protocol page).
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
+
 /// What happens if a request is executed twice; this determines the method of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Idempotency {
@@ -41,7 +46,8 @@
     pub idempotency: Idempotency,
     /// When the request is due to be sent; the client timeout counts from this time.
     pub planned: Duration,
-    /// How long after `planned` the client gives up waiting for the answer.
+    /// How long after `planned` an answer is of use to the client, which leaves [`ANSWER_GRACE`]
+    /// later.
     pub client_timeout: Duration,
     /// The form of the body, which a request sent as `GET` does not have.
     pub body: RequestBody,
@@ -61,7 +67,7 @@
     Unreachable,
     /// The connection ended before the answer was complete.
     ConnectionLost,
-    /// The client timeout passed before the answer was complete.
+    /// No answer was complete by the client timeout and [`ANSWER_GRACE`] after it.
     TimedOut,
 }
 
@@ -90,12 +96,19 @@
     pub request: ClientRequest,
     /// Number of the node to which the client connected, or failed to connect.
     pub node: usize,
-    /// When the answer was complete, the connection failed or the client timeout passed.
+    /// When the answer was complete, the connection failed or the client left.
     pub ended: Duration,
     /// The answer, or the reason why the client got none.
     pub outcome: ClientOutcome,
 }
 
+impl RequestRecord {
+    /// Whether the answer was 200 and came by the client timeout.
+    pub fn is_served(&self) -> bool {
+        self.outcome.is_served() && self.ended <= self.request.planned + self.request.client_timeout
+    }
+}
+
 type RequestSender = SendRequest<EncodedBody>;
 
 /// All well-behaved clients of a run; they share idle connections and records.
@@ -126,7 +139,7 @@
     pub async fn send(self: Arc<Self>, request: ClientRequest, node: usize, address: SocketAddr) {
         let deadline = self
             .clock
-            .instant_at(request.planned + request.client_timeout);
+            .instant_at(request.planned + request.client_timeout + ANSWER_GRACE);
         let result =
             tokio::time::timeout_at(deadline, self.exchange(&request, node, address)).await;
         let outcome = result.unwrap_or(ClientOutcome::TimedOut);
--- a/crates/testbed/src/report/figures.rs
+++ b/crates/testbed/src/report/figures.rs
@@ -143,7 +143,7 @@
     let attempts = records.attempts.len() as f64;
     figures.put("asked", requests.len() as f64);
     figures.put("in_time", fraction(&meets_objective));
-    figures.put("served", fraction(&|record| record.outcome.is_served()));
+    figures.put("served", fraction(&RequestRecord::is_served));
     figures.put("refused", fraction(&|record| record.outcome.is_rejected()));
     figures.put("unreachable", fraction(&is_unreachable));
     figures.put("in_time_after", fraction_since(steps_end, &meets_objective));
