--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,6 +2,7 @@
 //!
 //! - `start` constructs the components from the configuration.
 //! - `accept`, `clients`: the listener and the client connections ([`crate::downstream`]).
+//! - `replies`: the answers that the node itself gives.
 //! - `upstream`: attempts at backends ([`crate::upstream`]).
 //! - `discovery`: the endpoint list ([`crate::discovery`]).
 //! - `commands`: the commands that the request table has queued ([`crate::request_table`]).
@@ -12,6 +13,7 @@
 mod commands;
 mod discovery;
 mod error;
+mod replies;
 mod shutdown;
 mod start;
 mod upstream;
